--- /dev/null
+++ b/include/nutmegtally/entry_core.h
@@ -0,0 +1,334 @@
+// Decides for every request at a router that serves without agents: accept or refuse, which upstream, when to try
+// again, when to give up. A reducer: time comes with each event, sockets are the serving loop's.
+#pragma once
+
+#include <nutmegtally/log_events.h>
+#include <nutmegtally/reducer.h>
+#include <nutmegtally/retry_allowance.h>
+#include <nutmegtally/traffic_rules.h>
+#include <nutmegtally/upstream_set.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace nutmegtally
+{
+
+/// Number of one request at this router. Never used again.
+using exchange_id = std::uint64_t;
+
+/// What the decisions need of a request.
+struct request_summary {
+    std::string requestId; // the caller's
+    std::string host;
+    std::string path;
+    std::optional<std::string> key; // the caller's credential
+    duration deadline {0}; // time that the caller will wait from now on
+    prompt_parts parts;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t outputTokens = 0; // most that may be generated
+};
+
+/// Answer of an upstream that is whole, or a stream whose head is in.
+struct answer_summary {
+    int status = 0;
+    bool notRun = false; // states that the request did not run
+    bool isSigned = false; // carries the upstream's signature
+    std::optional<upstream_load> load;
+};
+
+enum class attempt_failure : std::uint8_t {
+    unreachable, // nothing was sent
+    lost, // the connection ended before the answer was whole
+    damaged, // not an answer in the protocol, or one to another request
+    count
+};
+
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(attempt_failure::count)> attemptFailureNames = {
+    "unreachable",
+    "lost",
+    "damaged",
+};
+
+constexpr std::string_view nameOf(attempt_failure failure)
+{
+    return attemptFailureNames[static_cast<std::size_t>(failure)];
+}
+
+/// Own final answers of a router.
+enum class refusal : std::uint8_t {
+    noRules, // no configuration yet
+    noRoute,
+    unknownKey,
+    noUpstream, // not run
+    noRoom, // not run
+    upstreamRefused, // not run: the upstream said so
+    draining, // not run
+    timeoutNotRun, // time is up and nothing was sent
+    timeoutUnknown, // time is up after it was sent
+    upstreamFailed, // may have run
+    count
+};
+
+struct refusal_info {
+    refusal reason;
+    std::string_view name;
+    int status;
+    bool promisesNotRun;
+};
+
+inline constexpr auto refusalTable = std::to_array<refusal_info>({
+    {refusal::noRules, "no_rules", 503, true},
+    {refusal::noRoute, "no_route", 404, true},
+    {refusal::unknownKey, "unknown_key", 401, true},
+    {refusal::noUpstream, "no_upstream", 503, true},
+    {refusal::noRoom, "no_room", 503, true},
+    {refusal::upstreamRefused, "upstream_refused", 503, true},
+    {refusal::draining, "draining", 503, true},
+    {refusal::timeoutNotRun, "timeout_not_run", 503, true},
+    {refusal::timeoutUnknown, "timeout_unknown", 504, false},
+    {refusal::upstreamFailed, "upstream_failed", 502, false},
+});
+
+static_assert(refusalTable.size() == static_cast<std::size_t>(refusal::count));
+
+constexpr const refusal_info &infoOf(refusal reason)
+{
+    return refusalTable[static_cast<std::size_t>(reason)];
+}
+
+struct entry_options {
+    std::string name; // of this router
+    std::string domain;
+    retry_terms retries;
+};
+
+namespace entry_event
+{
+
+struct rules_changed {
+    std::shared_ptr<const traffic_rules> rules;
+};
+
+struct upstream_listed {
+    upstream_record record;
+};
+
+struct upstream_unlisted {
+    std::string instance;
+    duration grace {0}; // as in upstream_set::unlist
+};
+
+struct closures_changed {
+    std::vector<std::string> domains;
+};
+
+struct routers_changed {
+    std::vector<std::string> live;
+};
+
+struct request_received {
+    exchange_id exchange = 0;
+    request_summary request;
+};
+
+struct caller_left {
+    exchange_id exchange = 0;
+};
+
+/// The answer may be relayed: it is whole, or a stream's head.
+struct answer_received {
+    exchange_id exchange = 0;
+    answer_summary answer;
+};
+
+struct attempt_failed {
+    exchange_id exchange = 0;
+    attempt_failure failure = attempt_failure::lost;
+};
+
+/// A relayed stream ended before its end. Nothing of an unfinished event went to the caller.
+struct stream_broken {
+    exchange_id exchange = 0;
+};
+
+/// The last byte of the answer is on its way to the caller.
+struct answer_finished {
+    exchange_id exchange = 0;
+};
+
+struct drain_requested {
+};
+
+/// Sent a few times a second, and more often while requests wait.
+struct tick {
+};
+
+} // namespace entry_event
+
+namespace entry_effect
+{
+
+/// Send the request to an upstream.
+struct start_attempt {
+    exchange_id exchange = 0;
+    std::string instance; // the only one that may run the request
+    std::string address;
+    duration timeLeft {0}; // for the upstream
+    int priority = 0;
+    std::string account; // empty on public routes
+    bool isStream = false;
+    bool isResumable = false;
+    bool mayRepeat = false; // false: use a connection that is surely open
+    bool isResume = false; // go on after the last event that the caller got
+};
+
+/// Close the upstream connection of the running attempt.
+struct stop_attempt {
+    exchange_id exchange = 0;
+};
+
+struct relay_answer {
+    exchange_id exchange = 0;
+};
+
+/// Give a final answer of this router. The exchange is over.
+struct refuse {
+    exchange_id exchange = 0;
+    refusal reason = refusal::upstreamFailed;
+    std::optional<duration> retryAfter;
+};
+
+/// End an answer that cannot be completed so that it looks incomplete. The exchange is over.
+struct cut_answer {
+    exchange_id exchange = 0;
+};
+
+} // namespace entry_effect
+
+/// How a finished request went, for counters and histograms.
+struct exchange_report {
+    std::string route;
+    request_kind kind = request_kind::nonIdempotent;
+    std::string_view outcome; // "answered", "refused", "cut" or "left"
+    std::string_view reason; // name of the refusal
+    duration took {0};
+    unsigned attempts = 0;
+};
+
+class entry_core
+{
+public:
+    using event = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
+                               entry_event::closures_changed, entry_event::routers_changed, entry_event::request_received,
+                               entry_event::caller_left, entry_event::answer_received, entry_event::attempt_failed,
+                               entry_event::stream_broken, entry_event::answer_finished, entry_event::drain_requested, entry_event::tick>;
+    using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer, entry_effect::refuse,
+                                entry_effect::cut_answer, exchange_report, log_record>;
+
+    explicit entry_core(entry_options options);
+
+    void apply(time_point now, const event &input, std::vector<effect> &effects);
+
+    /// Requests that were received and have no final answer.
+    std::size_t openExchanges() const
+    {
+        return m_exchanges.size();
+    }
+
+    bool hasRules() const
+    {
+        return m_rules != nullptr;
+    }
+
+    /// True if a request waits for an upstream, so that ticks should come often.
+    bool hasWaiting() const
+    {
+        return !m_waiting.empty();
+    }
+
+    const traffic_rules *rules() const
+    {
+        return m_rules.get();
+    }
+
+    const upstream_set &upstreams() const
+    {
+        return m_upstreams;
+    }
+
+private:
+    enum class phase : std::uint8_t {
+        waiting, // nothing was sent, or what was sent did not run
+        sent, // an attempt runs, no answer yet
+        relaying,
+    };
+
+    struct exchange {
+        request_summary request;
+        std::shared_ptr<const traffic_rules> rules; // the version under which it was accepted
+        const route_rule *route = nullptr; // in rules
+        std::string account;
+        int priority = 0;
+        std::string service;
+        time_point arrivedAt;
+        time_point endsAt; // the caller's deadline
+        time_point timeoutAt; // the route's timeout, or the deadline if that is sooner
+        time_point waitUntil; // refused if it still waits then
+        time_point sentAt;
+        phase state = phase::waiting;
+        upstream_number upstream = noUpstreamNumber; // of the running attempt
+        bool awaitsFirst = false; // the running attempt has no answer yet
+        bool wasOverdue = false;
+        bool isResume = false;
+        unsigned sends = 0; // attempts in which something may have reached an upstream
+        std::vector<upstream_number> tried;
+        placement_outcome lastPlacement = placement_outcome::chosen;
+        refusal lastFailure = refusal::noUpstream; // what a final refusal would say
+    };
+
+    using exchanges = std::unordered_map<exchange_id, exchange>;
+
+    void on(time_point now, const entry_event::rules_changed &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::upstream_listed &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::upstream_unlisted &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::closures_changed &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::routers_changed &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::request_received &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::caller_left &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::attempt_failed &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::answer_finished &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::drain_requested &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
+
+    bool place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
+    void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
+    void placeWaiting(time_point now, std::vector<effect> &effects);
+    bool mayTryAgain(time_point now, exchange &work, std::vector<effect> &effects);
+    void endAttempt(time_point now, exchange &work, upstream_verdict verdict);
+    void checkTime(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
+    void refuse(time_point now, exchange_id id, exchange &work, refusal reason, std::vector<effect> &effects);
+    void cut(time_point now, exchange_id id, exchange &work, std::string_view why, std::vector<effect> &effects);
+    void report(time_point now, const exchange &work, std::string_view outcome, std::string_view reason,
+                std::vector<effect> &effects) const;
+    void finish(exchange_id id);
+
+    entry_options m_options;
+    std::shared_ptr<const traffic_rules> m_rules; // never replaced by an older version
+    upstream_set m_upstreams;
+    std::map<std::string, retry_allowance> m_retries; // by service
+    exchanges m_exchanges;
+    std::deque<exchange_id> m_waiting; // in order of arrival; entries whose exchange is over are skipped
+    std::optional<time_point> m_drainingSince;
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/include/nutmegtally/object_follower.h
@@ -0,0 +1,157 @@
+// Follows all objects of one kind in the platform's object API: reads the list, then waits for changes, and starts
+// over when the history is gone or the API was away. A reducer; calls are effects, their results events. What other
+// routers have read serves as well while the API does not answer.
+#pragma once
+
+#include <nutmegtally/log_events.h>
+#include <nutmegtally/reducer.h>
+#include <nutmegtally/stored_object.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace nutmegtally
+{
+
+struct follower_options {
+    std::string kind; // for log lines
+    duration wait = std::chrono::seconds(4); // longest time of one wait for changes
+    /// How long an object stays usable that was missing when the API came back after an outage.
+    duration missingGrace = std::chrono::milliseconds(2200);
+};
+
+namespace follower_event
+{
+
+/// One page of the list.
+struct page_read {
+    std::vector<stored_object> objects;
+    bool hasMore = false;
+    store_revision asOf = 0;
+};
+
+/// Result of a wait; no objects if nothing changed.
+struct changes_read {
+    std::vector<stored_object> objects;
+    store_revision asOf = 0;
+};
+
+/// The API no longer has the changes since the revision that was asked for.
+struct history_lost {
+};
+
+struct call_failed {
+    std::string why;
+};
+
+/// All objects as another router read them.
+struct snapshot_received {
+    std::vector<stored_object> objects;
+    store_revision asOf = 0;
+    std::string from;
+};
+
+struct tick {
+};
+
+} // namespace follower_event
+
+namespace follower_effect
+{
+
+struct read_page {
+    std::string after; // name of the last object of the page before; empty for the first page
+};
+
+struct wait_for_changes {
+    store_revision since = 0;
+    duration wait {0};
+};
+
+struct object_changed {
+    stored_object object;
+};
+
+struct object_removed {
+    std::string name;
+    duration grace {0}; // it may only have lapsed while the API was away
+};
+
+} // namespace follower_effect
+
+class object_follower
+{
+public:
+    using event = std::variant<follower_event::page_read, follower_event::changes_read, follower_event::history_lost,
+                               follower_event::call_failed, follower_event::snapshot_received, follower_event::tick>;
+    using effect = std::variant<follower_effect::read_page, follower_effect::wait_for_changes, follower_effect::object_changed,
+                                follower_effect::object_removed, log_record>;
+
+    explicit object_follower(follower_options options);
+
+    void apply(time_point now, const event &input, std::vector<effect> &effects);
+
+    /// The list was read at least once, here or by another router.
+    bool isComplete() const
+    {
+        return m_isComplete;
+    }
+
+    /// The API answered the last call, or a wait is running.
+    bool hasContact() const
+    {
+        return m_failures == 0;
+    }
+
+    store_revision asOf() const
+    {
+        return m_asOf;
+    }
+
+    /// Equal for equal sets of objects.
+    std::uint64_t contentHash() const;
+
+    const std::map<std::string, stored_object> &objects() const
+    {
+        return m_objects;
+    }
+
+private:
+    enum class phase : std::uint8_t {
+        idle, // the next call is due at m_callAt
+        listing,
+        waiting,
+    };
+
+    void on(time_point now, const follower_event::page_read &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::changes_read &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::history_lost &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::tick &input, std::vector<effect> &effects);
+
+    void answered(time_point now, std::vector<effect> &effects);
+    void startList(std::vector<effect> &effects);
+    void startWait(std::vector<effect> &effects);
+    void replaceAll(time_point now, std::vector<stored_object> objects, std::vector<effect> &effects);
+    void change(const stored_object &object, std::vector<effect> &effects);
+    void remove(time_point now, const std::string &name, std::vector<effect> &effects);
+
+    follower_options m_options;
+    std::map<std::string, stored_object> m_objects;
+    std::vector<stored_object> m_listed; // pages of the list that is being read
+    store_revision m_asOf = 0; // m_objects is the state at this revision or later; never falls
+    phase m_phase = phase::idle;
+    bool m_isComplete = false;
+    bool m_mustList = true; // the history since m_asOf is not known to be there
+    unsigned m_failures = 0; // calls that failed in a row
+    time_point m_callAt;
+    time_point m_failingSince;
+    std::optional<time_point> m_regainedAt; // end of the last outage
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/include/nutmegtally/prefix_map.h
@@ -0,0 +1,55 @@
+// What this router knows of the prompt parts that engines keep: parts of prompts that it sent and got answers for.
+// Engines evict without telling it, so an entry only lasts for a time.
+#pragma once
+
+#include <nutmegtally/time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegtally
+{
+
+/// One part of a prompt. Requests share parts; the last one belongs to the request itself or its chat.
+struct prompt_part {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+using prompt_parts = std::vector<prompt_part>;
+
+std::uint64_t totalTokens(const prompt_parts &parts);
+
+/// The part that requests about the same subject share: the last but one, or the only one.
+/// @return 0 if there are no parts.
+std::uint64_t subjectOf(const prompt_parts &parts);
+
+class prefix_map
+{
+public:
+    /// Records that an upstream has read a prompt.
+    void note(const prompt_parts &parts, std::uint32_t upstream, time_point now);
+
+    /// Tokens at the start of a prompt that the upstream probably keeps.
+    std::uint64_t cachedTokens(const prompt_parts &parts, std::uint32_t upstream, time_point now) const;
+
+    std::size_t size() const
+    {
+        return m_holders.size();
+    }
+
+private:
+    struct holder {
+        std::uint32_t upstream = 0;
+        time_point usedAt;
+    };
+
+    static bool isFresh(const holder &entry, time_point now);
+    void evict(time_point now);
+
+    std::unordered_map<std::uint64_t, std::vector<holder>> m_holders; // at most limits::prefixEntries parts
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/include/nutmegtally/router_news.h
@@ -0,0 +1,102 @@
+// Which routers live, and when to ask which of them for newer state. Every router asks one other a second; the answer
+// carries what the asker lacks, so state spreads also to routers that cannot read it themselves. A reducer.
+#pragma once
+
+#include <nutmegtally/log_events.h>
+#include <nutmegtally/reducer.h>
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace nutmegtally
+{
+
+/// A router as others tell of it.
+struct router_notice {
+    std::string name;
+    std::string address; // IP number and port of its listener for other routers
+    duration age {0}; // since the teller heard of it
+};
+
+struct news_options {
+    std::string name;
+    std::string address;
+    std::vector<std::string> seeds; // addresses to start with; may be stale or this router's own
+};
+
+namespace news_event
+{
+
+/// Another router asked or answered.
+struct heard {
+    std::string name;
+    std::string address;
+    std::vector<router_notice> known;
+};
+
+struct exchange_failed {
+    std::string address;
+};
+
+struct tick {
+    bool hasContact = true; // the platform answers this router
+};
+
+} // namespace news_event
+
+namespace news_effect
+{
+
+struct ask {
+    std::string address;
+};
+
+/// Routers that share limits, with this one.
+struct routers_changed {
+    std::vector<std::string> live;
+};
+
+} // namespace news_effect
+
+class router_news
+{
+public:
+    using event = std::variant<news_event::heard, news_event::exchange_failed, news_event::tick>;
+    using effect = std::variant<news_effect::ask, news_effect::routers_changed, log_record>;
+
+    explicit router_news(news_options options);
+
+    void apply(time_point now, const event &input, std::vector<effect> &effects);
+
+    /// What this router tells of the others.
+    std::vector<router_notice> known(time_point now) const;
+
+private:
+    struct router {
+        std::string address;
+        time_point heardAt;
+    };
+
+    struct target {
+        time_point askedAt;
+        time_point notBefore; // after failures
+        unsigned failures = 0;
+    };
+
+    void on(time_point now, const news_event::heard &input, std::vector<effect> &effects);
+    void on(time_point now, const news_event::exchange_failed &input, std::vector<effect> &effects);
+    void on(time_point now, const news_event::tick &input, std::vector<effect> &effects);
+    void note(const std::string &name, const std::string &address, time_point heardAt);
+    void tellLive(time_point now, std::vector<effect> &effects);
+
+    news_options m_options;
+    std::map<std::string, router> m_routers; // by name, without this one
+    std::map<std::string, target> m_targets; // by address
+    std::vector<std::string> m_live; // as last told
+    time_point m_nextAsk;
+    bool m_toldOnce = false;
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/include/nutmegtally/traffic_rules.h
@@ -0,0 +1,124 @@
+// Traffic rules: which requests a router accepts, to which service each route leads, and under which limits. One
+// value holds one version of the rules; it never changes once it is in force.
+#pragma once
+
+#include <nutmegtally/time.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegtally
+{
+
+/// What may be repeated. Follows from the route, never from the method or the name of a request.
+enum class request_kind : std::uint8_t {
+    idempotent,
+    nonIdempotent,
+    streaming,
+    count
+};
+
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(request_kind::count)> requestKindNames = {
+    "idempotent",
+    "non_idempotent",
+    "streaming",
+};
+
+constexpr std::string_view nameOf(request_kind kind)
+{
+    return requestKindNames[static_cast<std::size_t>(kind)];
+}
+
+/// Part of a route's traffic that goes to one service.
+struct service_share {
+    std::string service;
+    double weight = 1; // relative to the other shares of the route
+};
+
+struct route_rule {
+    std::string name;
+    std::string host; // lower case, without a port
+    std::string pathPrefix; // begins and ends with a slash
+    request_kind kind = request_kind::nonIdempotent;
+    duration timeout {0}; // longest time that a caller is kept waiting
+    duration target {0}; // to the whole answer; for streams to the first event
+    duration pauseTarget {0}; // longest pause between the events of a stream that is on time
+    int priority = 0; // 0 is the highest
+    unsigned maxUpstreams = 1; // upstreams to which one request may be sent
+    bool isPublic = false; // needs no key
+    bool isResumable = false; // a stream may go on at another upstream after a given event
+    bool carriesPrompt = false; // its prompt parts are cached by engines
+    std::vector<service_share> shares; // at least one
+
+    /// True if a second run of the same request does no harm.
+    bool mayRepeat() const
+    {
+        return kind == request_kind::idempotent || (kind == request_kind::streaming && isResumable);
+    }
+};
+
+struct service_rule {
+    std::string name;
+    std::string healthPath;
+    unsigned maxConnections = 0; // of one upstream over all routers; 0 means no bound
+    double coldRequestsPerSecond = 0; // what a cold upstream tolerates; 0 means no bound
+    unsigned engineSlots = 0; // requests that an engine runs at once; 0 for plain services
+    std::uint64_t cacheTokens = 0; // memory of an engine for running requests and cached parts
+};
+
+struct account_rule {
+    std::string name;
+    bool hasPriority = false;
+    int priority = 0; // goes before the route's priority
+};
+
+/// Bounds on what a caller may send and on how long it may take.
+struct caller_limits {
+    std::size_t maxHeaderBytes = 16'384;
+    std::size_t maxBodyBytes = 4'194'304;
+    duration headerTimeout = std::chrono::seconds(3);
+    duration idleTimeout = std::chrono::seconds(15);
+};
+
+/// One version of the rules with its indices.
+class traffic_rules
+{
+public:
+    std::uint64_t version = 0;
+    std::vector<route_rule> routes;
+    std::vector<service_rule> services;
+    std::vector<account_rule> accounts;
+    std::unordered_map<std::string, std::size_t> accountOfKey; // key to index in accounts
+    caller_limits limits;
+
+    /// Builds the lookup tables. Call once after the members were filled.
+    void index();
+
+    /// Finds the route of @p host whose prefix is the longest that begins @p path.
+    /// @param host As in the request; case and port are ignored.
+    /// @param path Target of the request; a query is ignored.
+    /// @return nullptr if no route matches.
+    const route_rule *match(std::string_view host, std::string_view path) const;
+
+    /// @return nullptr if no account holds @p key.
+    const account_rule *accountFor(const std::string &key) const;
+
+    /// @return nullptr if the rules name no such service.
+    const service_rule *service(std::string_view name) const;
+
+    /// True if callers need a key on routes that are not public.
+    bool needsKeys() const
+    {
+        return !accounts.empty();
+    }
+
+private:
+    std::unordered_map<std::string, std::size_t> m_routeOf; // host, newline, prefix to index in routes
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/include/nutmegtally/upstream_set.h
@@ -0,0 +1,192 @@
+// A router's view of the upstreams: what the platform lists, what answers say of their load, what this router has in
+// flight there, and how often they failed. Chooses the upstream for a request.
+#pragma once
+
+#include <nutmegtally/prefix_map.h>
+#include <nutmegtally/time.h>
+#include <nutmegtally/traffic_rules.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace nutmegtally
+{
+
+/// What the platform's list says of one upstream.
+struct upstream_record {
+    std::string instance; // unique name; the upstream refuses requests meant for another instance
+    std::string service;
+    std::string address; // IP number and port
+    std::string domain;
+    unsigned slots = 1; // requests that it runs at once
+    bool isLeaving = false;
+    duration coldFor {0}; // remaining time of the cold start
+    std::uint64_t incarnation = 0; // start of the process; another value means that caches and counts are gone
+
+    bool operator==(const upstream_record &) const = default;
+};
+
+/// Load as the upstream stated it in an answer.
+struct upstream_load {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+/// Number of one incarnation of an upstream. Never used again, so late events of an earlier one match nothing.
+using upstream_number = std::uint32_t;
+inline constexpr upstream_number noUpstreamNumber = 0;
+
+/// What placement needs to know of a request.
+struct placement_request {
+    std::string_view service;
+    const prompt_parts *parts = nullptr; // null or empty for plain services
+    std::uint64_t tieBreak = 0; // spreads equal choices
+    const std::vector<upstream_number> *tried = nullptr; // not chosen again
+};
+
+/// Why no upstream was chosen.
+enum class placement_outcome : std::uint8_t {
+    chosen,
+    noneListed, // no upstream of the service is known, or all are leaving or in closed domains
+    allFull, // each one has as much work as it may get
+    allCold, // the ones with room are cold and have got their requests of this second
+    allTried,
+    count
+};
+
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(placement_outcome::count)> placementOutcomeNames = {
+    "chosen", "none_listed", "all_full", "all_cold", "all_tried",
+};
+
+constexpr std::string_view nameOf(placement_outcome outcome)
+{
+    return placementOutcomeNames[static_cast<std::size_t>(outcome)];
+}
+
+struct placement {
+    placement_outcome outcome = placement_outcome::noneListed;
+    upstream_number upstream = noUpstreamNumber;
+    double score = 0; // expected delay in milliseconds
+    double load = 0; // estimated requests at the upstream before this one
+    duration loadAge {0}; // since the upstream's last own statement
+    std::uint64_t cachedTokens = 0;
+    unsigned candidates = 0;
+};
+
+/// How a request ended at an upstream, as far as it says something about the upstream.
+enum class upstream_verdict : std::uint8_t {
+    good,
+    refused, // said that it did not run the request
+    failed, // an error answer
+    unreachable, // no connection
+    lost, // the connection ended, or the answer was damaged
+    overdue, // no answer within the usual time
+    unknown, // nothing learnt: the caller left
+    count
+};
+
+/// One listed incarnation and what this router knows of it.
+struct upstream_state {
+    upstream_record record;
+    upstream_number number = noUpstreamNumber;
+    time_point coldUntil;
+    unsigned inFlight = 0; // this router's requests there
+    std::uint64_t pendingTokens = 0; // prompt tokens of this router's requests that have no first event yet
+    std::uint64_t heldTokens = 0; // prompt and output tokens of this router's requests
+    upstream_load reported;
+    time_point reportedAt;
+    unsigned inFlightAtReport = 0;
+    bool hasReport = false;
+    double failureRate = 0; // moving average over answers, 0 to 1
+    unsigned failuresInRow = 0; // without an answer between them
+    time_point avoidedUntil;
+    double coldTokens = 0; // token bucket of starts while cold
+    time_point coldRefilledAt;
+    bool missing = false; // absent from the list, kept until missingUntil
+    time_point missingUntil;
+};
+
+class upstream_set
+{
+public:
+    /// @param ownDomain Failure domain of this router; ties go to upstreams in it.
+    explicit upstream_set(std::string ownDomain);
+
+    /// Takes over an entry of the platform's list.
+    /// @return True if something other than the age changed.
+    bool list(const upstream_record &record, time_point now);
+
+    /// Takes an upstream off the list.
+    /// @param grace Keeps it usable for this long: the list may have lost it while the platform was away.
+    void unlist(const std::string &instance, time_point now, duration grace);
+
+    /// Removes what stayed missing beyond its grace. @return The instances that were removed.
+    std::vector<std::string> expire(time_point now);
+
+    /// Domains that get nothing new.
+    void setClosedDomains(std::unordered_set<std::string> domains);
+
+    /// Routers that share the starts of a cold upstream.
+    void setRouters(std::string self, std::vector<std::string> live);
+
+    placement choose(const placement_request &request, const traffic_rules &rules, time_point now);
+
+    /// Counts a request that is sent now.
+    void start(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, time_point now);
+
+    /// First event of the request's answer, or its whole answer.
+    void firstAnswer(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, time_point now);
+
+    void reportLoad(upstream_number number, const upstream_load &load, time_point now);
+
+    /// Ends a request that start() counted.
+    /// @param awaitsFirst True if firstAnswer() was not called for it.
+    void finish(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, bool awaitsFirst);
+
+    void judge(upstream_number number, upstream_verdict verdict, time_point now);
+
+    /// @return nullptr if the number is no longer listed.
+    const upstream_state *find(upstream_number number) const;
+
+    /// False if the upstream left the list, is leaving, or its domain was closed.
+    bool mayUse(upstream_number number) const;
+
+    std::size_t size() const
+    {
+        return m_upstreams.size();
+    }
+
+    std::size_t routers() const
+    {
+        return m_routers.empty() ? 1 : m_routers.size();
+    }
+
+    /// Requests at an upstream: what it stated, corrected by what this router started and ended since.
+    static double estimatedLoad(const upstream_state &upstream, time_point now);
+
+private:
+    bool isOpen(const upstream_state &upstream) const;
+    bool mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const;
+    double scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule, bool isHome,
+                       placement &details, time_point now) const;
+    double scoreService(const upstream_state &upstream, time_point now) const;
+    upstream_state *mutableState(upstream_number number);
+
+    std::string m_ownDomain;
+    std::map<std::string, upstream_state> m_upstreams; // by instance
+    std::unordered_map<upstream_number, std::string> m_instanceOf;
+    std::unordered_set<std::string> m_closedDomains;
+    std::string m_self;
+    std::vector<std::string> m_routers; // live ones with this one, sorted
+    prefix_map m_prefixes;
+    upstream_number m_lastNumber = noUpstreamNumber;
+};
+
+} // namespace nutmegtally
--- a/programs/daemon_metrics.h
+++ b/programs/daemon_metrics.h
@@ -1,15 +1,12 @@
-// Metrics of a daemon and the status listener that serves them with /healthz and /readyz.
+// Metrics of a daemon.
 #pragma once
 
-#include "daemon_http.h"
-
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -40,11 +37,4 @@
     std::shared_ptr<prometheus::Registry> m_registry;
 };
 
-/// Why a daemon is not ready; empty if it is ready.
-using readiness = std::function<std::string()>;
-
-/// Handler of the status listener.
-/// @param refresh Called before each scrape to set gauges.
-http_handler statusHandler(const daemon_metrics &metrics, readiness notReady, std::function<void()> refresh);
-
 } // namespace nutmegtally
--- a/programs/daemon_settings.cpp
+++ b/programs/daemon_settings.cpp
@@ -70,7 +70,7 @@
     while (results.popError(result)) {
         std::string path;
         for (const std::string &part : result.context) {
-            path += toPointer(part.front() == '<' ? part : ">" + part);
+            path += toPointer(part.front() == '<' ? part : std::string(1, '>').append(part));
         }
         faults.push_back({path, result.description, remedyFor(result.description)});
     }
--- /dev/null
+++ b/programs/daemon_status.h
@@ -0,0 +1,20 @@
+// Status listener of a daemon: /healthz, /readyz and /metrics.
+#pragma once
+
+#include "daemon_http.h"
+#include "daemon_metrics.h"
+
+#include <functional>
+#include <string>
+
+namespace nutmegtally
+{
+
+/// Why a daemon is not ready; empty if it is ready.
+using readiness = std::function<std::string()>;
+
+/// Handler of the status listener.
+/// @param refresh Called before each scrape to set gauges.
+http_handler statusHandler(const daemon_metrics &metrics, readiness notReady, std::function<void()> refresh);
+
+} // namespace nutmegtally
--- /dev/null
+++ b/programs/entry/entry_daemon.cpp
@@ -0,0 +1,514 @@
+#include "entry/entry_daemon.h"
+
+#include "platform/names.h"
+#include "platform/objects_codec.h"
+
+#include <nutmegtally/log_line.h>
+
+#include <signal.h>
+#include <time.h>
+
+namespace nutmegtally
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration tickInterval = 100ms; // of followers, news and the shutdown
+constexpr duration callMargin = 1s; // for the answer to a wait beyond the time it may wait
+constexpr duration listTimeout = 1500ms; // for one page of a list; a slow store answers in hundreds of milliseconds
+constexpr duration askTimeout = 800ms; // for another router's answer
+constexpr duration gapWorthTelling = 1s; // between ticks; the process was frozen or starved
+constexpr duration idleBeforeShutdownClose = 1500ms; // of a caller's connection; a busier one is told to close by its next answer
+constexpr duration acceptWhileLeaving = 2800ms; // the balancer stops sending after two missed checks a second apart
+constexpr duration shutdownMargin = 200ms; // before the platform kills the process
+constexpr std::size_t reservedDescriptors = 200; // for files and own connections
+
+template<typename Effects, typename Handler>
+void forEach(const Effects &effects, Handler handle)
+{
+    for (const auto &effect : effects) {
+        std::visit(handle, effect);
+    }
+}
+
+constexpr std::array<std::string_view, 3> followedNames = {
+    platform::kind::configuration,
+    platform::kind::upstreams,
+    platform::kind::closures,
+};
+
+follower_options followerFor(std::string_view kind)
+{
+    follower_options options;
+    options.kind = std::string(kind);
+    return options;
+}
+
+duration bootTime()
+{
+    timespec since {};
+    ::clock_gettime(CLOCK_BOOTTIME, &since);
+    return std::chrono::duration_cast<duration>(std::chrono::seconds(since.tv_sec) + std::chrono::nanoseconds(since.tv_nsec));
+}
+
+entry_options optionsFrom(const entry_settings &settings)
+{
+    return {settings.name, settings.domain, settings.retries};
+}
+
+json_log_options logOptionsFrom(const entry_settings &settings)
+{
+    json_log_options options;
+    options.process = settings.name;
+    options.level = settings.logLevel;
+    options.linesPerSecond = settings.logLinesPerSecond;
+    return options;
+}
+
+news_options newsOptionsFrom(const entry_settings &settings)
+{
+    return {settings.name, settings.routersListen, settings.seeds};
+}
+
+own_answer plainAnswer(int status, std::string text)
+{
+    return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
+}
+
+} // namespace
+
+struct entry_daemon::counters {
+    explicit counters(daemon_metrics &metrics)
+        : requests(metrics.counterFamily("nutmegtally_entry_requests_total", "Finished requests by outcome and reason"))
+        , attempts(metrics.counter("nutmegtally_entry_attempts_total", "Requests sent to upstreams"))
+        , callers(metrics.gauge("nutmegtally_entry_callers", "Open connections of callers"))
+        , openRequests(metrics.gauge("nutmegtally_entry_open_requests", "Requests without a final answer"))
+        , connections(metrics.gauge("nutmegtally_entry_upstream_connections", "Connections opened to upstreams since the start"))
+        , idleConnections(metrics.gauge("nutmegtally_entry_idle_upstream_connections", "Open connections to upstreams without a request"))
+        , calls(metrics.gauge("nutmegtally_entry_calls", "Calls to the object API and other routers since the start"))
+        , routers(metrics.gauge("nutmegtally_entry_routers", "Routers that share limits"))
+        , upstreams(metrics.gauge("nutmegtally_entry_upstreams", "Upstreams that are listed"))
+        , version(metrics.gauge("nutmegtally_entry_rules_version", "Version of the traffic rules in force"))
+        , droppedLines(metrics.gauge("nutmegtally_entry_log_lines_dropped", "Log lines dropped since the start"))
+        , seconds {
+              &metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "idempotent"}}),
+              &metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "non_idempotent"}}),
+              &metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "streaming"}}),
+          }
+    {
+    }
+
+    prometheus::Family<prometheus::Counter> &requests;
+    prometheus::Counter &attempts;
+    prometheus::Gauge &callers;
+    prometheus::Gauge &openRequests;
+    prometheus::Gauge &connections;
+    prometheus::Gauge &idleConnections;
+    prometheus::Gauge &calls;
+    prometheus::Gauge &routers;
+    prometheus::Gauge &upstreams;
+    prometheus::Gauge &version;
+    prometheus::Gauge &droppedLines;
+    std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> seconds;
+};
+
+entry_daemon::entry_daemon(boost::asio::io_context &context, const entry_settings &settings, std::function<entry_settings()> reload)
+    : m_context(context)
+    , m_settings(settings)
+    , m_reload(std::move(reload))
+    , m_log(logOptionsFrom(settings))
+    , m_counters(std::make_unique<counters>(m_metrics))
+    , m_calls(context, [this] { return now(); })
+    , m_serving(context, platform::request_codec(), optionsFrom(settings),
+                {[this](const log_record &record) { carryOut(record); }, [this](const exchange_report &report) { finished(report); },
+                 [this] { return now(); }})
+    , m_followers {object_follower(followerFor(followedNames[0])), object_follower(followerFor(followedNames[1])),
+                   object_follower(followerFor(followedNames[2]))}
+    , m_news(newsOptionsFrom(settings))
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    , m_tickTimer(context)
+    , m_lastTick(time_point(bootTime()))
+{
+    log_line line;
+    line.with("domain", settings.domain)
+        .with("listen", settings.listen)
+        .with("objects", settings.objects)
+        .with("version", NUTMEGTALLY_VERSION);
+    carryOut(log_record {log_event::daemonStarted, line.take()});
+    const auto clock = [this] { return now(); };
+    const std::size_t mostCallers = (settings.maxDescriptors - std::min(settings.maxDescriptors / 2, reservedDescriptors)) * 2 / 3;
+    m_callers = std::make_unique<listener>(context, settings.listen, [this, mostCallers](boost::asio::ip::tcp::socket socket) {
+        if (m_serving.callers() >= mostCallers) {
+            log_line refused;
+            refused.with("callers", m_serving.callers()).with("most", mostCallers);
+            carryOut(log_record {log_event::connectionRefused, refused.take()});
+            return; // closes the connection before anything of it was read
+        }
+        m_serving.accept(std::move(socket));
+    });
+    m_readyServer = std::make_unique<call_server>(context, settings.readyListen, clock,
+                                                  [this](const http_head &head, const std::string &) { return answerReady(head); });
+    m_routerServer
+        = std::make_unique<call_server>(context, settings.routersListen, clock,
+                                        [this](const http_head &head, const std::string &body) { return answerRouter(head, body); });
+    if (!settings.metricsListen.empty()) {
+        m_metricsServer = std::make_unique<call_server>(context, settings.metricsListen, clock,
+                                                        [this](const http_head &head, const std::string &) { return answerMetrics(head); });
+    }
+    awaitSignals();
+    tick();
+}
+
+entry_daemon::~entry_daemon() = default;
+
+time_point entry_daemon::now() const
+{
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+object_follower &entry_daemon::follower(followed kind)
+{
+    return m_followers[static_cast<std::size_t>(kind)];
+}
+
+bool entry_daemon::run()
+{
+    m_context.run();
+    return !m_cutWork;
+}
+
+void entry_daemon::apply(followed kind, const object_follower::event &event)
+{
+    std::vector<object_follower::effect> effects;
+    follower(kind).apply(now(), event, effects);
+    forEach(effects, [this, kind](const auto &effect) { carryOut(kind, effect); });
+}
+
+void entry_daemon::carryOut(followed kind, const follower_effect::read_page &page)
+{
+    call_request request;
+    request.address = m_settings.objects;
+    request.target = platform::listTarget(followedNames[static_cast<std::size_t>(kind)], page);
+    request.timeout = listTimeout;
+    m_calls.call(request, [this, kind](const call_result &result) {
+        if (result.status != 200) {
+            apply(kind, follower_event::call_failed {result.status == 0 ? result.failure : "status " + std::to_string(result.status)});
+            return;
+        }
+        try {
+            apply(kind, platform::decodePage(result.body));
+        } catch (const std::exception &fault) {
+            apply(kind, follower_event::call_failed {fault.what()});
+        }
+    });
+}
+
+void entry_daemon::carryOut(followed kind, const follower_effect::wait_for_changes &wait)
+{
+    call_request request;
+    request.address = m_settings.objects;
+    request.target = platform::watchTarget(followedNames[static_cast<std::size_t>(kind)], wait);
+    request.timeout = wait.wait + callMargin;
+    m_calls.call(request, [this, kind](const call_result &result) {
+        if (result.status == platform::historyLostStatus) {
+            apply(kind, follower_event::history_lost {});
+            return;
+        }
+        if (result.status != 200) {
+            apply(kind, follower_event::call_failed {result.status == 0 ? result.failure : "status " + std::to_string(result.status)});
+            return;
+        }
+        try {
+            apply(kind, platform::decodeChanges(result.body));
+        } catch (const std::exception &fault) {
+            apply(kind, follower_event::call_failed {fault.what()});
+        }
+    });
+}
+
+void entry_daemon::carryOut(followed kind, const follower_effect::object_changed &changed)
+{
+    std::string why;
+    switch (kind) {
+    case followed::rules:
+        if (changed.object.name != platform::configurationName) {
+            return;
+        }
+        try {
+            m_serving.post(entry_event::rules_changed {platform::decodeRules(changed.object.text)});
+            return;
+        } catch (const std::exception &fault) {
+            why = fault.what();
+        }
+        break;
+    case followed::upstreams:
+        if (const auto record = platform::decodeUpstream(changed.object, why)) {
+            m_serving.post(entry_event::upstream_listed {*record});
+            return;
+        }
+        m_serving.post(entry_event::upstream_unlisted {changed.object.name, duration(0)});
+        break;
+    default:
+        tellClosures();
+        return;
+    }
+    log_line line;
+    line.with("kind", followedNames[static_cast<std::size_t>(kind)]).with("object", changed.object.name).with("why", why);
+    carryOut(log_record {log_event::entryUnreadable, line.take()});
+}
+
+void entry_daemon::carryOut(followed kind, const follower_effect::object_removed &removed)
+{
+    if (kind == followed::upstreams) {
+        m_serving.post(entry_event::upstream_unlisted {removed.name, removed.grace});
+    } else if (kind == followed::closures) {
+        tellClosures();
+    }
+}
+
+void entry_daemon::carryOut(followed, const log_record &record)
+{
+    carryOut(record);
+}
+
+void entry_daemon::tellClosures()
+{
+    std::vector<std::string> domains;
+    for (const auto &[name, object] : follower(followed::closures).objects()) {
+        domains.push_back(name);
+    }
+    m_serving.post(entry_event::closures_changed {std::move(domains)});
+}
+
+void entry_daemon::apply(const router_news::event &event)
+{
+    std::vector<router_news::effect> effects;
+    m_news.apply(now(), event, effects);
+    forEach(effects, [this](const auto &effect) { carryOut(effect); });
+}
+
+void entry_daemon::carryOut(const news_effect::routers_changed &changed)
+{
+    m_serving.post(entry_event::routers_changed {changed.live});
+}
+
+void entry_daemon::carryOut(const log_record &record)
+{
+    m_log.write(now(), record);
+    if (record.event == log_event::attemptStarted) {
+        m_counters->attempts.Increment();
+    }
+}
+
+news_message entry_daemon::ownNews() const
+{
+    news_message message;
+    message.name = m_settings.name;
+    message.address = m_settings.routersListen;
+    message.routers = m_news.known(now());
+    for (std::size_t i = 0; i < followedKinds; ++i) {
+        message.digests.push_back({std::string(followedNames[i]), m_followers[i].asOf(), m_followers[i].contentHash()});
+    }
+    return message;
+}
+
+void entry_daemon::carryOut(const news_effect::ask &question)
+{
+    call_request request;
+    request.address = question.address;
+    request.method = "POST";
+    request.target = std::string(routersPath);
+    request.body = encodeNews(ownNews());
+    request.timeout = askTimeout;
+    m_calls.call(request, [this, address = question.address](const call_result &result) {
+        if (result.status != 200) {
+            apply(news_event::exchange_failed {address});
+            return;
+        }
+        try {
+            takeNews(decodeNews(result.body));
+        } catch (const std::exception &) {
+            apply(news_event::exchange_failed {address});
+        }
+    });
+}
+
+void entry_daemon::takeNews(const news_message &message)
+{
+    apply(news_event::heard {message.name, message.address, message.routers});
+    for (const kind_snapshot &snapshot : message.snapshots) {
+        for (std::size_t i = 0; i < followedKinds; ++i) {
+            if (followedNames[i] == snapshot.kind) {
+                apply(static_cast<followed>(i), follower_event::snapshot_received {snapshot.objects, snapshot.asOf, message.name});
+            }
+        }
+    }
+}
+
+own_answer entry_daemon::answerRouter(const http_head &head, const std::string &body)
+{
+    if (head.target != routersPath) {
+        return plainAnswer(404, "this listener serves other routers\n");
+    }
+    news_message question;
+    try {
+        question = decodeNews(body);
+    } catch (const std::exception &fault) {
+        return plainAnswer(400, std::string(fault.what()) + '\n');
+    }
+    apply(news_event::heard {question.name, question.address, question.routers});
+    news_message answer = ownNews();
+    for (std::size_t i = 0; i < followedKinds; ++i) {
+        const object_follower &own = m_followers[i];
+        for (const kind_digest &digest : question.digests) {
+            const bool isNewer = digest.kind == followedNames[i] && own.isComplete() && own.asOf() > digest.asOf;
+            // An empty set also has to be told once: the asker does not know yet that there is nothing.
+            if (isNewer && (digest.asOf == 0 || own.contentHash() != digest.hash)) {
+                kind_snapshot snapshot {digest.kind, own.asOf(), {}};
+                for (const auto &[name, object] : own.objects()) {
+                    snapshot.objects.push_back(object);
+                }
+                answer.snapshots.push_back(std::move(snapshot));
+            }
+        }
+    }
+    return {200, {{"Content-Type", "application/json"}}, encodeNews(answer)};
+}
+
+bool entry_daemon::isReady() const
+{
+    return !m_shutdownSince && m_serving.decisions().hasRules() && m_followers[static_cast<std::size_t>(followed::upstreams)].isComplete();
+}
+
+own_answer entry_daemon::answerReady(const http_head &) const
+{
+    return isReady() ? plainAnswer(200, "ready\n") : plainAnswer(503, "not ready\n");
+}
+
+own_answer entry_daemon::answerMetrics(const http_head &head)
+{
+    if (head.target != "/metrics") {
+        return plainAnswer(404, "this listener serves /metrics\n");
+    }
+    const entry_core &decisions = m_serving.decisions();
+    m_counters->callers.Set(static_cast<double>(m_serving.callers()));
+    m_counters->openRequests.Set(static_cast<double>(decisions.openExchanges()));
+    m_counters->connections.Set(static_cast<double>(m_serving.connectionsOpened()));
+    m_counters->idleConnections.Set(static_cast<double>(m_serving.idleUpstreamConnections()));
+    m_counters->calls.Set(static_cast<double>(m_calls.calls()));
+    m_counters->routers.Set(static_cast<double>(decisions.upstreams().routers()));
+    m_counters->upstreams.Set(static_cast<double>(decisions.upstreams().size()));
+    m_counters->version.Set(decisions.rules() ? static_cast<double>(decisions.rules()->version) : 0);
+    m_counters->droppedLines.Set(static_cast<double>(m_log.dropped()));
+    return {200, {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}}, m_metrics.text()};
+}
+
+void entry_daemon::finished(const exchange_report &report)
+{
+    const metric_labels labels {{"outcome", std::string(report.outcome)}, {"reason", std::string(report.reason)}};
+    m_counters->requests.Add(labels).Increment();
+    m_counters->seconds[static_cast<std::size_t>(report.kind)]->Observe(std::chrono::duration<double>(report.took).count());
+}
+
+void entry_daemon::tick()
+{
+    const time_point booted(bootTime());
+    if (booted - m_lastTick > gapWorthTelling) {
+        log_line line;
+        line.with("gap_ms", booted - m_lastTick);
+        carryOut(log_record {log_event::clockGap, line.take()});
+    }
+    m_lastTick = booted;
+    bool hasContact = true;
+    for (std::size_t i = 0; i < followedKinds; ++i) {
+        apply(static_cast<followed>(i), follower_event::tick {});
+        hasContact = hasContact && m_followers[i].hasContact();
+    }
+    apply(news_event::tick {hasContact});
+    m_readyServer->checkTime(now());
+    m_routerServer->checkTime(now());
+    if (m_metricsServer) {
+        m_metricsServer->checkTime(now());
+    }
+    if (isReady() && !m_wasReady) {
+        m_wasReady = true;
+        carryOut(log_record {log_event::daemonReady, {}});
+    }
+    checkShutdown();
+    m_log.flush(now());
+    if (m_stopped) {
+        return;
+    }
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code &fault) {
+        if (!fault) {
+            tick();
+        }
+    });
+}
+
+void entry_daemon::awaitSignals()
+{
+    m_signals.async_wait([this](const boost::system::error_code &fault, int signal) {
+        if (fault) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            log_line line;
+            try {
+                const entry_settings fresh = m_reload();
+                line.with("log_level", static_cast<int>(fresh.logLevel)).with("seeds", fresh.seeds.size());
+                carryOut(log_record {log_event::settingsReloaded, line.take()});
+            } catch (const std::exception &problem) {
+                line.with("why", problem.what());
+                carryOut(log_record {log_event::settingsRejected, line.take()});
+            }
+        } else {
+            startShutdown();
+        }
+        awaitSignals();
+    });
+}
+
+void entry_daemon::startShutdown()
+{
+    if (m_shutdownSince) {
+        return;
+    }
+    m_shutdownSince = now();
+    log_line line;
+    line.with("open_requests", m_serving.decisions().openExchanges()).with("limit_ms", m_settings.shutdownLimit);
+    carryOut(log_record {log_event::daemonStopping, line.take()});
+    m_serving.post(entry_event::drain_requested {});
+}
+
+void entry_daemon::checkShutdown()
+{
+    if (!m_shutdownSince) {
+        return;
+    }
+    const duration since = now() - *m_shutdownSince;
+    const bool accepts = since < acceptWhileLeaving;
+    if (!accepts && m_callers) {
+        m_callers->close();
+        m_callers.reset();
+    }
+    m_serving.closeIdleCallers(accepts ? idleBeforeShutdownClose : duration(0));
+    const std::size_t open = m_serving.decisions().openExchanges();
+    const bool isDone = !accepts && open == 0 && m_serving.callers() == 0;
+    if (!isDone && since < m_settings.shutdownLimit - shutdownMargin) {
+        return;
+    }
+    m_cutWork = open > 0;
+    log_line line;
+    line.with("cut_requests", open).with("after_ms", since);
+    carryOut(log_record {log_event::daemonStopped, line.take()});
+    m_log.flush(now());
+    m_stopped = true;
+    m_context.stop();
+}
+
+} // namespace nutmegtally
--- /dev/null
+++ b/programs/entry/entry_daemon.h
@@ -0,0 +1,105 @@
+// nutmegtally-entry: a router on an entry VM that serves the platform's callers from its upstreams without agents.
+// Joins the reducers: what followers read becomes events of the serving core, and what routers tell each other becomes
+// snapshots for the followers.
+#pragma once
+
+#include "daemon_metrics.h"
+#include "entry/entry_settings.h"
+#include "entry/json_log.h"
+#include "entry/news_codec.h"
+#include "platform/request_codec.h"
+#include "serving/call_client.h"
+#include "serving/listener.h"
+#include "serving/serving_core.h"
+
+#include <nutmegtally/object_follower.h>
+#include <nutmegtally/router_news.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace nutmegtally
+{
+
+class entry_daemon
+{
+public:
+    /// @param reload Reads the settings file again after SIGHUP; throws if it has faults.
+    /// @throws std::exception if a listener cannot be bound.
+    entry_daemon(boost::asio::io_context &context, const entry_settings &settings, std::function<entry_settings()> reload);
+    ~entry_daemon();
+
+    /// Serves until SIGTERM and the graceful shutdown are over.
+    /// @return False if the shutdown cut work.
+    bool run();
+
+private:
+    /// Kinds of objects that are followed.
+    enum class followed : std::uint8_t {
+        rules,
+        upstreams,
+        closures,
+        count
+    };
+
+    static constexpr std::size_t followedKinds = static_cast<std::size_t>(followed::count);
+
+    struct counters;
+
+    time_point now() const;
+    object_follower &follower(followed kind);
+    void apply(followed kind, const object_follower::event &event);
+    void carryOut(followed kind, const follower_effect::read_page &page);
+    void carryOut(followed kind, const follower_effect::wait_for_changes &wait);
+    void carryOut(followed kind, const follower_effect::object_changed &changed);
+    void carryOut(followed kind, const follower_effect::object_removed &removed);
+    void carryOut(followed kind, const log_record &record);
+    void tellClosures();
+
+    void apply(const router_news::event &event);
+    void carryOut(const news_effect::ask &question);
+    void carryOut(const news_effect::routers_changed &changed);
+    void carryOut(const log_record &record);
+    news_message ownNews() const;
+    void takeNews(const news_message &message);
+    own_answer answerRouter(const http_head &head, const std::string &body);
+
+    own_answer answerReady(const http_head &head) const;
+    own_answer answerMetrics(const http_head &head);
+    bool isReady() const;
+    void finished(const exchange_report &report);
+    void tick();
+    void awaitSignals();
+    void startShutdown();
+    void checkShutdown();
+
+    boost::asio::io_context &m_context;
+    entry_settings m_settings;
+    std::function<entry_settings()> m_reload;
+    json_log m_log;
+    daemon_metrics m_metrics;
+    std::unique_ptr<counters> m_counters;
+    call_client m_calls;
+    serving_core<platform::request_codec> m_serving;
+    std::array<object_follower, followedKinds> m_followers;
+    router_news m_news;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_tickTimer;
+    std::unique_ptr<listener> m_callers;
+    std::unique_ptr<call_server> m_readyServer;
+    std::unique_ptr<call_server> m_routerServer;
+    std::unique_ptr<call_server> m_metricsServer;
+    std::optional<time_point> m_shutdownSince;
+    time_point m_lastTick;
+    bool m_wasReady = false;
+    bool m_stopped = false;
+    bool m_cutWork = false;
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/programs/entry/news_codec.h
@@ -0,0 +1,45 @@
+// Messages between routers: JSON bodies of POST calls to routersPath.
+#pragma once
+
+#include <nutmegtally/object_follower.h>
+#include <nutmegtally/router_news.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace nutmegtally
+{
+
+inline constexpr std::string_view routersPath = "/routers/v1/news";
+
+/// What a router has of one kind of object.
+struct kind_digest {
+    std::string kind;
+    store_revision asOf = 0;
+    std::uint64_t hash = 0; // object_follower::contentHash
+};
+
+/// All objects of a kind.
+struct kind_snapshot {
+    std::string kind;
+    store_revision asOf = 0;
+    std::vector<stored_object> objects;
+};
+
+/// Question and answer have the same form; only an answer has snapshots.
+struct news_message {
+    std::string name;
+    std::string address;
+    std::vector<router_notice> routers;
+    std::vector<kind_digest> digests;
+    std::vector<kind_snapshot> snapshots; // of kinds of which the asker has older objects
+};
+
+std::string encodeNews(const news_message &message);
+
+/// @throws std::exception with a reason if the body is not a message.
+news_message decodeNews(const std::string &body);
+
+} // namespace nutmegtally
--- a/programs/router_daemon.h
+++ b/programs/router_daemon.h
@@ -5,6 +5,7 @@
 #include "daemon_fleet.h"
 #include "daemon_http.h"
 #include "daemon_metrics.h"
+#include "daemon_status.h"
 #include "daemon_workers.h"
 #include "router_answer.h"
 #include "router_attempt.h"
--- /dev/null
+++ b/programs/serving/event_stream.cpp
@@ -0,0 +1,49 @@
+#include "serving/event_stream.h"
+
+#include "serving/http_message.h"
+
+namespace nutmegtally
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        const std::string_view line = event.substr(0, end);
+        if (line.starts_with("id:")) {
+            std::string_view value = line.substr(3);
+            while (!value.empty() && value.front() == ' ') {
+                value.remove_prefix(1);
+            }
+            return parseDecimal(value);
+        }
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string event_stream::take(std::string_view bytes)
+{
+    m_partial += bytes;
+    std::string whole;
+    std::size_t start = 0;
+    for (std::size_t end = m_partial.find("\n\n"); end != std::string::npos; end = m_partial.find("\n\n", start)) {
+        const std::string_view event(m_partial.data() + start, end + 2 - start);
+        const std::optional<std::uint64_t> id = idOf(event);
+        const bool isRepeated = id && m_lastId && *id <= *m_lastId;
+        if (!isRepeated) {
+            whole += event;
+            m_lastId = id ? id : m_lastId;
+        }
+        start = end + 2;
+    }
+    m_partial.erase(0, start);
+    return whole;
+}
+
+} // namespace nutmegtally
--- /dev/null
+++ b/programs/serving/serving_limits.h
@@ -0,0 +1,32 @@
+// Limits of the serving core, with their units.
+#pragma once
+
+#include <nutmegtally/time.h>
+
+#include <cstddef>
+
+namespace nutmegtally::serving_limits
+{
+
+using namespace std::chrono_literals;
+
+inline constexpr std::size_t pipelinedBytes = 65'536; // kept of the requests behind the one that is served
+inline constexpr std::size_t answerHeadBytes = 65'536; // of an upstream's answer
+inline constexpr std::size_t wholeAnswerBytes = 262'144; // answers up to this size are passed on only when they are whole
+inline constexpr std::size_t outputBytes = 262'144; // waiting for a caller that reads slowly; beyond it the upstream is not read
+inline constexpr duration connectTimeout = 300ms; // to an upstream; a hundred round trips between domains
+inline constexpr duration idleMargin = 1s; // an idle connection is given up this long before the upstream would close it
+inline constexpr duration idleDefault = 4s; // if the upstream does not say how long it keeps idle connections
+inline constexpr duration probeIdle = 1s; // until the first keep-alive probe of a quiet connection
+inline constexpr int userTimeoutMs = 2500; // unacknowledged bytes end a connection
+inline constexpr int probeIntervalS = 1;
+inline constexpr int probeCount = 2;
+inline constexpr duration lingerTime = 1s; // for the caller to read a last answer before the connection is closed
+inline constexpr int backlog = 512; // connections that wait to be accepted
+inline constexpr duration sweepInterval = 100ms; // between checks of idle and slow connections
+inline constexpr duration busyTick = 20ms; // between ticks of the reducer while requests are open
+inline constexpr duration quietTick = 100ms; // and while there are none
+inline constexpr duration callConnectTimeout = 500ms; // to the object API and other routers
+inline constexpr duration acceptPause = 50ms; // after a failed accept, until descriptors are free again
+
+} // namespace nutmegtally::serving_limits
--- /dev/null
+++ b/programs/serving/upstream_connection.cpp
@@ -0,0 +1,257 @@
+#include "serving/upstream_connection.h"
+
+#include "serving/serving_limits.h"
+#include "serving/socket_options.h"
+
+#include <boost/asio/write.hpp>
+
+namespace nutmegtally
+{
+
+upstream_connection::upstream_connection(boost::asio::io_context &context)
+    : m_socket(context)
+    , m_connectTimer(context)
+{
+}
+
+void upstream_connection::open(const boost::asio::ip::tcp::endpoint &peer, duration timeout, std::string request, bool isHead,
+                               handlers owner)
+{
+    m_owner = std::make_shared<const handlers>(std::move(owner));
+    m_request = std::move(request);
+    m_isHead = isHead;
+    m_busy = true;
+    const std::uint64_t generation = ++m_generation;
+    m_connectTimer.expires_after(timeout);
+    m_connectTimer.async_wait([self = shared_from_this(), generation](const boost::system::error_code &fault) {
+        if (!fault && generation == self->m_generation && !self->m_open) {
+            self->fail(connection_failure::unreachable);
+        }
+    });
+    m_socket.async_connect(peer, [self = shared_from_this(), generation](const boost::system::error_code &fault) {
+        if (generation != self->m_generation) {
+            return;
+        }
+        self->m_connectTimer.cancel();
+        if (fault) {
+            self->fail(connection_failure::unreachable);
+            return;
+        }
+        self->m_open = true;
+        tuneSocket(self->m_socket);
+        self->writeRequest();
+        self->read();
+    });
+}
+
+void upstream_connection::send(std::string request, bool isHead, handlers owner)
+{
+    m_idleEnded = nullptr;
+    m_owner = std::make_shared<const handlers>(std::move(owner));
+    m_request = std::move(request);
+    m_isHead = isHead;
+    m_busy = true;
+    ++m_generation;
+    writeRequest();
+    read();
+}
+
+void upstream_connection::writeRequest()
+{
+    m_written = false;
+    m_headSeen = false;
+    m_mine = false;
+    m_skippedAny = false;
+    m_parser.reset();
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
+                             [self = shared_from_this(), generation = m_generation](const boost::system::error_code &fault, std::size_t) {
+                                 if (generation != self->m_generation || !self->m_busy) {
+                                     return;
+                                 }
+                                 // After a fault there may still be an answer to read; the read reports the end.
+                                 self->m_written = !fault;
+                             });
+}
+
+void upstream_connection::read()
+{
+    if (m_reading || m_paused || !m_open) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_chunk),
+                             [self = shared_from_this()](const boost::system::error_code &fault, std::size_t bytes) {
+                                 self->m_reading = false;
+                                 if (!self->m_open) {
+                                     return;
+                                 }
+                                 if (!fault) {
+                                     self->received(bytes);
+                                     return;
+                                 }
+                                 if (!self->m_busy) {
+                                     const auto ended = std::move(self->m_idleEnded);
+                                     self->close();
+                                     if (ended) {
+                                         ended();
+                                     }
+                                     return;
+                                 }
+                                 // Only an orderly end may complete an answer without a length; a reset may have cut it.
+                                 if (fault == boost::asio::error::eof && self->m_parser && self->m_mine && self->m_parser->feedEnd()) {
+                                     self->answerDone();
+                                     return;
+                                 }
+                                 self->fail(connection_failure::lost);
+                             });
+}
+
+void upstream_connection::received(std::size_t bytes)
+{
+    if (!m_busy) {
+        // Bytes that nobody asked for: whatever follows cannot be told from an answer.
+        const auto ended = std::move(m_idleEnded);
+        close();
+        if (ended) {
+            ended();
+        }
+        return;
+    }
+    m_input.append(m_chunk.data(), bytes);
+    parse();
+    if (m_open) {
+        read();
+    }
+}
+
+void upstream_connection::parse()
+{
+    const std::uint64_t generation = m_generation;
+    const std::shared_ptr<const handlers> owner = m_owner;
+    while (m_busy && generation == m_generation && !m_input.empty()) {
+        if (!m_parser) {
+            m_parser = std::make_unique<answer_parser>(serving_limits::answerHeadBytes);
+            m_headSeen = false;
+            m_mine = false;
+            if (m_isHead) {
+                m_parser->expectNoBody();
+            }
+        }
+        const std::size_t used = m_parser->feed(m_input);
+        m_input.erase(0, used);
+        if (m_parser->fault()) {
+            fail(connection_failure::damaged);
+            return;
+        }
+        if (m_parser->isHeadDone() && !m_headSeen) {
+            const int status = m_parser->head().status;
+            if (status >= 100 && status < 200) {
+                m_parser.reset();
+                continue;
+            }
+            m_headSeen = true;
+            noteIdleTime(m_parser->head());
+            m_mine = owner->head(m_parser->head());
+            if (generation != m_generation || !m_busy) {
+                return;
+            }
+            if (!m_mine && m_parser->endsWithConnection()) {
+                fail(connection_failure::lost);
+                return;
+            }
+        }
+        if (!m_parser->body().empty()) {
+            std::string piece;
+            piece.swap(m_parser->body());
+            if (m_mine) {
+                owner->body(std::move(piece));
+            }
+            if (generation != m_generation || !m_busy) {
+                return;
+            }
+        }
+        if (m_parser->isDone()) {
+            if (m_mine) {
+                answerDone();
+                return;
+            }
+            m_skippedAny = true;
+            m_parser.reset();
+            continue;
+        }
+        if (used == 0) {
+            return;
+        }
+    }
+}
+
+void upstream_connection::noteIdleTime(const http_head &head)
+{
+    m_statedIdle = duration(0);
+    const std::string *value = head.find("keep-alive");
+    if (value == nullptr) {
+        return;
+    }
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = value->find(name);
+    if (at == std::string::npos) {
+        return;
+    }
+    std::string_view digits = std::string_view(*value).substr(at + name.size());
+    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+    if (const std::optional<std::uint64_t> seconds = parseDecimal(digits)) {
+        m_statedIdle = std::chrono::seconds(*seconds);
+    }
+}
+
+void upstream_connection::answerDone()
+{
+    ++m_answers;
+    const bool keeps = m_parser->keepsConnection() && !m_parser->endsWithConnection();
+    // Bytes behind a whole answer, an answer before the request was sent, or one that was skipped: not used again.
+    const bool reusable = keeps && m_written && m_input.empty() && !m_skippedAny;
+    m_busy = false;
+    m_parser.reset();
+    ++m_generation;
+    const std::shared_ptr<const handlers> owner = std::move(m_owner);
+    if (!reusable) {
+        close();
+    }
+    owner->done(reusable);
+}
+
+void upstream_connection::fail(connection_failure failure)
+{
+    const std::shared_ptr<const handlers> owner = std::move(m_owner);
+    close();
+    owner->failed(failure);
+}
+
+void upstream_connection::pause(bool paused)
+{
+    m_paused = paused;
+    if (!paused) {
+        read();
+    }
+}
+
+void upstream_connection::close()
+{
+    ++m_generation;
+    m_busy = false;
+    m_open = false;
+    m_idleEnded = nullptr;
+    m_owner.reset();
+    m_connectTimer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void upstream_connection::idle(std::function<void()> ended)
+{
+    m_idleEnded = std::move(ended);
+    m_paused = false;
+    read();
+}
+
+} // namespace nutmegtally
--- /dev/null
+++ b/programs/serving/upstream_connection.h
@@ -0,0 +1,115 @@
+// A connection to an upstream, used for one request at a time and kept open between requests.
+#pragma once
+
+#include "serving/http_message.h"
+
+#include <nutmegtally/time.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace nutmegtally
+{
+
+/// How a request on a connection ended without a whole answer.
+enum class connection_failure : std::uint8_t {
+    unreachable, // no byte of the request was sent
+    lost, // the connection ended before the answer did
+    damaged, // bytes that are not an answer
+};
+
+class upstream_connection : public std::enable_shared_from_this<upstream_connection>
+{
+public:
+    using pointer = std::shared_ptr<upstream_connection>;
+
+    /// Who runs a request on the connection. Cleared when the request is over.
+    struct handlers {
+        /// Head of an answer is in; true if it belongs to the request, false to skip it and wait for the next one.
+        std::function<bool(const http_head &)> head;
+        /// Bytes of the body, in order.
+        std::function<void(std::string &&)> body;
+        /// The answer is whole. The connection may be reused if @p reusable.
+        std::function<void(bool reusable)> done;
+        std::function<void(connection_failure)> failed;
+    };
+
+    explicit upstream_connection(boost::asio::io_context &context);
+
+    /// Connects and sends. Exactly one of done and failed follows, unless close() comes first.
+    /// @param isHead The answer has no body.
+    void open(const boost::asio::ip::tcp::endpoint &peer, duration timeout, std::string request, bool isHead, handlers owner);
+
+    /// Sends another request on an open, idle connection.
+    void send(std::string request, bool isHead, handlers owner);
+
+    /// Stops and resumes reading, for a caller that reads slowly.
+    void pause(bool paused);
+
+    /// Closes at once, without a further call to the owner.
+    void close();
+
+    /// Watches an idle connection: @p ended is called when the upstream closes it or sends something unasked.
+    void idle(std::function<void()> ended);
+
+    /// Idle time that the upstream stated in its last answer; zero if it stated none.
+    duration statedIdle() const
+    {
+        return m_statedIdle;
+    }
+
+    /// Answers that came in whole.
+    std::uint64_t answers() const
+    {
+        return m_answers;
+    }
+
+    bool isOpen() const
+    {
+        return m_open;
+    }
+
+    /// A request runs whose answer is not whole.
+    bool isBusy() const
+    {
+        return m_busy;
+    }
+
+private:
+    void writeRequest();
+    void read();
+    void received(std::size_t bytes);
+    void parse();
+    void answerDone();
+    void fail(connection_failure failure);
+    void noteIdleTime(const http_head &head);
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_connectTimer;
+    std::shared_ptr<const handlers> m_owner; // shared: a call may end the request and with it the handlers
+    std::function<void()> m_idleEnded;
+    std::unique_ptr<answer_parser> m_parser;
+    std::array<char, 4096> m_chunk;
+    std::string m_input; // received, not parsed
+    std::string m_request;
+    duration m_statedIdle {0};
+    std::uint64_t m_answers = 0;
+    bool m_open = false;
+    bool m_busy = false; // a request runs
+    bool m_written = false; // all of the request was handed to the kernel
+    bool m_reading = false;
+    bool m_paused = false;
+    bool m_isHead = false;
+    bool m_headSeen = false; // of the answer that is being read
+    bool m_mine = false; // that answer belongs to the request
+    bool m_skippedAny = false; // an answer that belonged to nothing was read: not reused afterwards
+    std::uint64_t m_generation = 0; // of the request, so that late completions of an earlier one are ignored
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/programs/serving/upstream_pool.h
@@ -0,0 +1,44 @@
+// Open connections to upstreams that wait for their next request.
+#pragma once
+
+#include "serving/upstream_connection.h"
+
+#include <nutmegtally/time.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegtally
+{
+
+class upstream_pool
+{
+public:
+    /// Takes the connection to an upstream that was used last.
+    /// @param upstream Instance and address together: an address may pass to another upstream.
+    /// @return nullptr if none is open.
+    upstream_connection::pointer take(const std::string &upstream, time_point now);
+
+    /// Keeps a connection for the next request.
+    void give(const std::string &upstream, const upstream_connection::pointer &connection, time_point now);
+
+    /// Closes connections before their upstreams would.
+    void checkTime(time_point now);
+
+    std::size_t size() const;
+
+private:
+    struct entry {
+        upstream_connection::pointer connection;
+        time_point goodUntil;
+    };
+
+    using entries = std::vector<entry>;
+
+    std::shared_ptr<std::unordered_map<std::string, entries>> m_idle = std::make_shared<std::unordered_map<std::string, entries>>();
+};
+
+} // namespace nutmegtally
--- /dev/null
+++ b/src/entry_core.cpp
@@ -0,0 +1,586 @@
+#include "limits.h"
+
+#include <nutmegtally/entry_core.h>
+#include <nutmegtally/ids.h>
+#include <nutmegtally/log_line.h>
+
+#include <algorithm>
+
+namespace nutmegtally
+{
+
+namespace
+{
+
+log_record record(log_event event, log_line &line)
+{
+    return {event, line.take()};
+}
+
+/// One of the route's services, by the request's own hash, so that a repeat at another router goes the same way.
+const std::string &serviceFor(const route_rule &route, const std::string &requestId)
+{
+    double total = 0;
+    for (const service_share &share : route.shares) {
+        total += share.weight;
+    }
+    const double unit = static_cast<double>(hashText(requestId, 1) >> 11) / static_cast<double>(1ULL << 53);
+    double left = unit * total;
+    for (const service_share &share : route.shares) {
+        left -= share.weight;
+        if (left < 0) {
+            return share.service;
+        }
+    }
+    return route.shares.back().service;
+}
+
+duration scaled(duration span, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
+std::optional<duration> retryAfterFor(refusal reason)
+{
+    switch (reason) {
+    case refusal::noRules:
+    case refusal::noUpstream:
+        return limits::retryAfterNone;
+    case refusal::noRoom:
+        return limits::retryAfterFull;
+    case refusal::upstreamRefused:
+        return limits::retryAfterRefused;
+    case refusal::draining:
+        return limits::retryAfterDraining;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+entry_core::entry_core(entry_options options)
+    : m_options(std::move(options))
+    , m_upstreams(m_options.domain)
+{
+    m_upstreams.setRouters(m_options.name, {});
+}
+
+void entry_core::apply(time_point now, const event &input, std::vector<effect> &effects)
+{
+    std::visit([&](const auto &each) { on(now, each, effects); }, input);
+}
+
+void entry_core::on(time_point now, const entry_event::rules_changed &input, std::vector<effect> &effects)
+{
+    const std::uint64_t before = m_rules ? m_rules->version : 0;
+    log_line line;
+    line.with("version", input.rules->version).with("previous", before);
+    if (m_rules && input.rules->version <= before) {
+        effects.push_back(record(log_event::configurationIgnored, line));
+        return;
+    }
+    m_rules = input.rules;
+    line.with("routes", m_rules->routes.size()).with("accounts", m_rules->accounts.size());
+    effects.push_back(record(log_event::configurationApplied, line));
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::upstream_listed &input, std::vector<effect> &effects)
+{
+    if (!m_upstreams.list(input.record, now)) {
+        return;
+    }
+    log_line line;
+    line.with("upstream", input.record.instance)
+        .with("service", input.record.service)
+        .with("address", input.record.address)
+        .with("domain", input.record.domain)
+        .with("leaving", input.record.isLeaving)
+        .with("cold_ms", input.record.coldFor);
+    effects.push_back(record(input.record.isLeaving ? log_event::upstreamLeaving : log_event::upstreamListed, line));
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::upstream_unlisted &input, std::vector<effect> &effects)
+{
+    m_upstreams.unlist(input.instance, now, input.grace);
+    log_line line;
+    line.with("upstream", input.instance).with("grace_ms", input.grace);
+    effects.push_back(record(log_event::upstreamUnlisted, line));
+}
+
+void entry_core::on(time_point now, const entry_event::closures_changed &input, std::vector<effect> &effects)
+{
+    m_upstreams.setClosedDomains({input.domains.begin(), input.domains.end()});
+    std::string names;
+    for (const std::string &domain : input.domains) {
+        names += (names.empty() ? "" : ",") + domain;
+    }
+    log_line line;
+    line.with("closed", names);
+    effects.push_back(record(log_event::domainsClosed, line));
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::routers_changed &input, std::vector<effect> &effects)
+{
+    const std::size_t before = m_upstreams.routers();
+    m_upstreams.setRouters(m_options.name, input.live);
+    log_line line;
+    line.with("live", m_upstreams.routers()).with("previous", before);
+    effects.push_back(record(log_event::routersChanged, line));
+    static_cast<void>(now);
+}
+
+void entry_core::on(time_point now, const entry_event::request_received &input, std::vector<effect> &effects)
+{
+    exchange &work = m_exchanges[input.exchange];
+    work.request = input.request;
+    work.rules = m_rules;
+    work.arrivedAt = now;
+    work.endsAt = now + input.request.deadline;
+    work.timeoutAt = work.endsAt;
+    if (!m_rules) {
+        refuse(now, input.exchange, work, refusal::noRules, effects);
+        return;
+    }
+    work.route = m_rules->match(input.request.host, input.request.path);
+    if (work.route == nullptr) {
+        refuse(now, input.exchange, work, refusal::noRoute, effects);
+        return;
+    }
+    work.priority = work.route->priority;
+    if (m_rules->needsKeys() && !work.route->isPublic) {
+        const account_rule *account = input.request.key ? m_rules->accountFor(*input.request.key) : nullptr;
+        if (account == nullptr) {
+            refuse(now, input.exchange, work, refusal::unknownKey, effects);
+            return;
+        }
+        work.account = account->name;
+        work.priority = account->hasPriority ? account->priority : work.priority;
+    }
+    if (m_drainingSince && now - *m_drainingSince > limits::drainAccepts) {
+        refuse(now, input.exchange, work, refusal::draining, effects);
+        return;
+    }
+    if (work.route->timeout.count() > 0) {
+        work.timeoutAt = std::min(work.endsAt, now + work.route->timeout);
+    }
+    work.service = serviceFor(*work.route, input.request.requestId);
+    work.waitUntil = std::min(work.timeoutAt - limits::shortestUsefulTime, now + scaled(work.route->target, limits::queueTargetShare));
+    m_retries[work.service].addRequest(now);
+    placeOrWait(now, input.exchange, work, effects);
+}
+
+bool entry_core::place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
+{
+    placement_request wanted;
+    wanted.service = work.service;
+    wanted.parts = work.route->carriesPrompt ? &work.request.parts : nullptr;
+    wanted.tieBreak = hashText(work.request.requestId, work.sends);
+    wanted.tried = &work.tried;
+    const placement choice = m_upstreams.choose(wanted, *work.rules, now);
+    work.lastPlacement = choice.outcome;
+    if (choice.outcome != placement_outcome::chosen) {
+        return false;
+    }
+    const upstream_state &upstream = *m_upstreams.find(choice.upstream);
+    if (work.sends > 0) {
+        m_retries[work.service].addRepeat(now);
+    }
+    ++work.sends;
+    work.state = phase::sent;
+    work.upstream = choice.upstream;
+    work.tried.push_back(choice.upstream);
+    work.sentAt = now;
+    work.awaitsFirst = true;
+    work.wasOverdue = false;
+    m_upstreams.start(choice.upstream, work.request.promptTokens, work.request.promptTokens + work.request.outputTokens, now);
+
+    entry_effect::start_attempt attempt;
+    attempt.exchange = id;
+    attempt.instance = upstream.record.instance;
+    attempt.address = upstream.record.address;
+    attempt.timeLeft = work.timeoutAt - now;
+    attempt.priority = work.priority;
+    attempt.account = work.account;
+    attempt.isStream = work.route->kind == request_kind::streaming;
+    attempt.isResumable = work.route->isResumable;
+    attempt.mayRepeat = work.route->mayRepeat();
+    attempt.isResume = work.isResume;
+    effects.push_back(attempt);
+
+    log_line line;
+    line.with("request", work.request.requestId)
+        .with("route", work.route->name)
+        .with("version", work.rules->version)
+        .with("upstream", upstream.record.instance)
+        .with("send", work.sends)
+        .with("score_ms", choice.score)
+        .with("load", choice.load)
+        .with("load_age_ms", choice.loadAge)
+        .with("candidates", choice.candidates)
+        .with("cached_tokens", choice.cachedTokens)
+        .with("prompt_tokens", work.request.promptTokens)
+        .with("waited_ms", now - work.arrivedAt)
+        .with("left_ms", attempt.timeLeft);
+    effects.push_back(record(log_event::attemptStarted, line));
+    return true;
+}
+
+void entry_core::placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
+{
+    if (work.timeoutAt - now < limits::shortestUsefulTime) {
+        refuse(now, id, work, work.sends > 0 ? work.lastFailure : refusal::timeoutNotRun, effects);
+        return;
+    }
+    if (place(now, id, work, effects)) {
+        return;
+    }
+    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold;
+    if (waits && work.sends == 0 && m_waiting.size() < limits::queueLimit && now < work.waitUntil) {
+        work.state = phase::waiting;
+        m_waiting.push_back(id);
+        return;
+    }
+    if (work.sends > 0) {
+        refuse(now, id, work, work.lastFailure, effects);
+        return;
+    }
+    refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal::noUpstream : refusal::noRoom, effects);
+}
+
+void entry_core::placeWaiting(time_point now, std::vector<effect> &effects)
+{
+    // The most urgent first, in order of arrival within a priority.
+    std::stable_sort(m_waiting.begin(), m_waiting.end(), [this](exchange_id a, exchange_id b) {
+        const auto first = m_exchanges.find(a);
+        const auto second = m_exchanges.find(b);
+        const int firstPriority = first == m_exchanges.end() ? -1 : first->second.priority;
+        const int secondPriority = second == m_exchanges.end() ? -1 : second->second.priority;
+        return firstPriority < secondPriority;
+    });
+    std::deque<exchange_id> still;
+    for (const exchange_id id : m_waiting) {
+        const auto found = m_exchanges.find(id);
+        if (found == m_exchanges.end() || found->second.state != phase::waiting) {
+            continue;
+        }
+        if (!place(now, id, found->second, effects)) {
+            still.push_back(id);
+        }
+    }
+    m_waiting = std::move(still);
+}
+
+bool entry_core::mayTryAgain(time_point now, exchange &work, std::vector<effect> &effects)
+{
+    if (work.sends == 0) {
+        return true;
+    }
+    if (work.sends >= work.route->maxUpstreams || work.timeoutAt - now < limits::shortestUsefulTime) {
+        return false;
+    }
+    if (!m_retries[work.service].allows(now, m_options.retries, m_upstreams.routers())) {
+        log_line line;
+        line.with("request", work.request.requestId).with("service", work.service).with("routers", m_upstreams.routers());
+        effects.push_back(record(log_event::retryBudgetEmpty, line));
+        return false;
+    }
+    return true;
+}
+
+void entry_core::endAttempt(time_point now, exchange &work, upstream_verdict verdict)
+{
+    m_upstreams.finish(work.upstream, work.request.promptTokens, work.request.promptTokens + work.request.outputTokens, work.awaitsFirst);
+    m_upstreams.judge(work.upstream, verdict, now);
+    work.upstream = noUpstreamNumber;
+    work.awaitsFirst = false;
+}
+
+void entry_core::on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects)
+{
+    const auto found = m_exchanges.find(input.exchange);
+    if (found == m_exchanges.end() || found->second.state != phase::sent) {
+        return;
+    }
+    exchange &work = found->second;
+    const answer_summary &answer = input.answer;
+    if (answer.load) {
+        m_upstreams.reportLoad(work.upstream, *answer.load, now);
+    }
+    const upstream_state *upstream = m_upstreams.find(work.upstream);
+    log_line line;
+    line.with("request", work.request.requestId)
+        .with("upstream", upstream ? upstream->record.instance : "gone")
+        .with("status", answer.status)
+        .with("not_run", answer.notRun)
+        .with("signed", answer.isSigned)
+        .with("after_ms", now - work.sentAt);
+    const bool isSuccess = answer.status >= 200 && answer.status < 300;
+    if (answer.notRun) {
+        effects.push_back(record(log_event::attemptRefused, line));
+        endAttempt(now, work, upstream_verdict::refused);
+        work.lastFailure = refusal::upstreamRefused;
+        work.state = phase::waiting;
+        if (mayTryAgain(now, work, effects)) {
+            placeOrWait(now, input.exchange, work, effects);
+        } else {
+            refuse(now, input.exchange, work, refusal::upstreamRefused, effects);
+        }
+        return;
+    }
+    if (work.isResume && !isSuccess) {
+        effects.push_back(record(log_event::attemptFailed, line));
+        endAttempt(now, work, upstream_verdict::failed);
+        cut(now, input.exchange, work, "resume_failed", effects);
+        return;
+    }
+    const bool isServerFault = answer.status >= 500 || answer.status == 429 || answer.status == 408 || answer.status == 421;
+    if (isServerFault || (isSuccess && !answer.isSigned)) {
+        effects.push_back(record(log_event::attemptFailed, line));
+        work.lastFailure = refusal::upstreamFailed;
+        if (work.route->mayRepeat() && mayTryAgain(now, work, effects)) {
+            endAttempt(now, work, upstream_verdict::failed);
+            work.state = phase::waiting;
+            placeOrWait(now, input.exchange, work, effects);
+            return;
+        }
+        // Statuses that would promise that the request did not run cannot be passed on.
+        const bool passable
+            = answer.isSigned && !isSuccess && answer.status != 503 && answer.status != 429 && answer.status != 408 && answer.status != 421;
+        if (!passable) {
+            endAttempt(now, work, upstream_verdict::failed);
+            refuse(now, input.exchange, work, refusal::upstreamFailed, effects);
+            return;
+        }
+        m_upstreams.judge(work.upstream, upstream_verdict::failed, now);
+    } else {
+        work.wasOverdue = false;
+        effects.push_back(record(log_event::answerReceived, line));
+        m_upstreams.firstAnswer(work.upstream, work.request.parts, work.request.promptTokens, now);
+        work.awaitsFirst = false;
+        m_upstreams.judge(work.upstream, upstream_verdict::good, now);
+    }
+    work.state = phase::relaying;
+    effects.push_back(entry_effect::relay_answer {input.exchange});
+}
+
+void entry_core::on(time_point now, const entry_event::attempt_failed &input, std::vector<effect> &effects)
+{
+    const auto found = m_exchanges.find(input.exchange);
+    if (found == m_exchanges.end() || found->second.state != phase::sent) {
+        return;
+    }
+    exchange &work = found->second;
+    const upstream_state *upstream = m_upstreams.find(work.upstream);
+    log_line line;
+    line.with("request", work.request.requestId)
+        .with("upstream", upstream ? upstream->record.instance : "gone")
+        .with("failure", nameOf(input.failure))
+        .with("after_ms", now - work.sentAt);
+    effects.push_back(record(log_event::attemptFailed, line));
+    const bool wasSent = input.failure != attempt_failure::unreachable;
+    endAttempt(now, work, wasSent ? upstream_verdict::lost : upstream_verdict::unreachable);
+    work.state = phase::waiting;
+    if (!wasSent) {
+        --work.sends;
+        if (work.sends == 0) {
+            work.lastFailure = refusal::noUpstream;
+        }
+    } else {
+        work.lastFailure = refusal::upstreamFailed;
+        if (!work.route->mayRepeat() || !mayTryAgain(now, work, effects)) {
+            refuse(now, input.exchange, work, refusal::upstreamFailed, effects);
+            return;
+        }
+    }
+    placeOrWait(now, input.exchange, work, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects)
+{
+    const auto found = m_exchanges.find(input.exchange);
+    if (found == m_exchanges.end() || found->second.state != phase::relaying) {
+        return;
+    }
+    exchange &work = found->second;
+    const upstream_state *upstream = m_upstreams.find(work.upstream);
+    log_line line;
+    line.with("request", work.request.requestId)
+        .with("upstream", upstream ? upstream->record.instance : "gone")
+        .with("after_ms", now - work.sentAt);
+    effects.push_back(record(log_event::streamBroken, line));
+    endAttempt(now, work, upstream_verdict::lost);
+    if (work.route->isResumable && mayTryAgain(now, work, effects)) {
+        work.isResume = true;
+        work.state = phase::waiting;
+        if (place(now, input.exchange, work, effects)) {
+            return;
+        }
+    }
+    cut(now, input.exchange, work, "stream_broken", effects);
+}
+
+void entry_core::on(time_point now, const entry_event::answer_finished &input, std::vector<effect> &effects)
+{
+    const auto found = m_exchanges.find(input.exchange);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    exchange &work = found->second;
+    endAttempt(now, work, upstream_verdict::unknown);
+    report(now, work, "answered", "", effects);
+    finish(input.exchange);
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::caller_left &input, std::vector<effect> &effects)
+{
+    const auto found = m_exchanges.find(input.exchange);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    exchange &work = found->second;
+    if (work.upstream != noUpstreamNumber) {
+        effects.push_back(entry_effect::stop_attempt {input.exchange});
+        endAttempt(now, work, upstream_verdict::unknown);
+    }
+    log_line line;
+    line.with("request", work.request.requestId).with("after_ms", now - work.arrivedAt).with("sends", work.sends);
+    effects.push_back(record(log_event::callerGone, line));
+    report(now, work, "left", "", effects);
+    finish(input.exchange);
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::drain_requested &, std::vector<effect> &)
+{
+    if (!m_drainingSince) {
+        m_drainingSince = now;
+    }
+}
+
+void entry_core::on(time_point now, const entry_event::tick &, std::vector<effect> &effects)
+{
+    for (const std::string &instance : m_upstreams.expire(now)) {
+        log_line line;
+        line.with("upstream", instance).with("grace_ms", 0);
+        effects.push_back(record(log_event::upstreamUnlisted, line));
+    }
+    placeWaiting(now, effects);
+    std::vector<exchange_id> ids;
+    ids.reserve(m_exchanges.size());
+    for (const auto &[id, work] : m_exchanges) {
+        ids.push_back(id);
+    }
+    for (const exchange_id id : ids) {
+        const auto found = m_exchanges.find(id);
+        if (found != m_exchanges.end()) {
+            checkTime(now, id, found->second, effects);
+        }
+    }
+}
+
+void entry_core::checkTime(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
+{
+    if (work.state == phase::waiting) {
+        if (now >= work.waitUntil) {
+            refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal::noUpstream : refusal::noRoom, effects);
+        }
+        return;
+    }
+    if (now >= work.timeoutAt) {
+        effects.push_back(entry_effect::stop_attempt {id});
+        const bool relaying = work.state == phase::relaying;
+        endAttempt(now, work, relaying ? upstream_verdict::unknown : upstream_verdict::overdue);
+        if (relaying) {
+            cut(now, id, work, "timeout", effects);
+        } else {
+            refuse(now, id, work, refusal::timeoutUnknown, effects);
+        }
+        return;
+    }
+    if (work.state != phase::sent || work.wasOverdue) {
+        return;
+    }
+    const bool isStream = work.route->kind == request_kind::streaming;
+    const duration usual = scaled(work.route->target, isStream ? limits::overdueStreamTargets : limits::overdueTargetShare);
+    if (now - work.sentAt < usual) {
+        return;
+    }
+    work.wasOverdue = true;
+    const upstream_state *upstream = m_upstreams.find(work.upstream);
+    log_line line;
+    line.with("request", work.request.requestId)
+        .with("upstream", upstream ? upstream->record.instance : "gone")
+        .with("after_ms", now - work.sentAt);
+    effects.push_back(record(log_event::attemptOverdue, line));
+    if (!work.route->mayRepeat() || !mayTryAgain(now, work, effects)) {
+        m_upstreams.judge(work.upstream, upstream_verdict::overdue, now);
+        return;
+    }
+    effects.push_back(entry_effect::stop_attempt {id});
+    endAttempt(now, work, upstream_verdict::overdue);
+    work.lastFailure = refusal::timeoutUnknown;
+    work.state = phase::waiting;
+    placeOrWait(now, id, work, effects);
+}
+
+void entry_core::refuse(time_point now, exchange_id id, exchange &work, refusal reason, std::vector<effect> &effects)
+{
+    if (work.isResume) {
+        cut(now, id, work, infoOf(reason).name, effects); // the caller has the head of a success already
+        return;
+    }
+    entry_effect::refuse answer;
+    answer.exchange = id;
+    answer.reason = reason;
+    answer.retryAfter = retryAfterFor(reason);
+    effects.push_back(answer);
+    log_line line;
+    line.with("request", work.request.requestId)
+        .with("reason", infoOf(reason).name)
+        .with("status", infoOf(reason).status)
+        .with("route", work.route ? work.route->name : "")
+        .with("version", work.rules ? work.rules->version : 0)
+        .with("placement", nameOf(work.lastPlacement))
+        .with("sends", work.sends)
+        .with("after_ms", now - work.arrivedAt)
+        .with("left_ms", work.endsAt - now)
+        .with("retry_after_ms", answer.retryAfter.value_or(duration(0)));
+    effects.push_back(record(log_event::requestRefused, line));
+    report(now, work, "refused", infoOf(reason).name, effects);
+    finish(id);
+}
+
+void entry_core::cut(time_point now, exchange_id id, exchange &work, std::string_view why, std::vector<effect> &effects)
+{
+    effects.push_back(entry_effect::cut_answer {id});
+    log_line line;
+    line.with("request", work.request.requestId).with("reason", why).with("after_ms", now - work.arrivedAt).with("sends", work.sends);
+    effects.push_back(record(log_event::answerCut, line));
+    report(now, work, "cut", why, effects);
+    finish(id);
+}
+
+void entry_core::report(time_point now, const exchange &work, std::string_view outcome, std::string_view reason,
+                        std::vector<effect> &effects) const
+{
+    exchange_report summary;
+    summary.route = work.route ? work.route->name : "";
+    summary.kind = work.route ? work.route->kind : request_kind::nonIdempotent;
+    summary.outcome = outcome;
+    summary.reason = reason;
+    summary.took = now - work.arrivedAt;
+    summary.attempts = work.sends;
+    effects.push_back(summary);
+}
+
+void entry_core::finish(exchange_id id)
+{
+    m_exchanges.erase(id);
+}
+
+} // namespace nutmegtally
--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -138,13 +138,13 @@
         return;
     }
     const json &entries = root.at(std::string(section));
-    const std::string sectionPath = "/" + std::string(section);
+    const std::string sectionPath = std::string("/").append(section);
     if (!entries.is_object()) {
         faults.push_back({sectionPath, "is not an object", "write one member per name"});
         return;
     }
     for (const auto &[name, value] : entries.items()) {
-        object_reader reader(value, sectionPath + "/" + name, faults);
+        object_reader reader(value, std::string(sectionPath).append(1, '/').append(name), faults);
         if (!isName(name)) {
             reader.fault("", "is not a valid name", "use up to 64 of a-z, 0-9, '-', '_' and '.'");
         }
--- a/src/limits.h
+++ b/src/limits.h
@@ -93,4 +93,45 @@
 inline constexpr duration settleRetryInterval = 1s;
 inline constexpr unsigned maxSettleTries = 60;
 
+// Serving without agents: a router sends straight to upstreams.
+inline constexpr double retryRatioUsed = 0.7; // of the fleet's ratio: windows of judge and router do not coincide
+inline constexpr double retrySlackUsed = 0.6; // of the fleet's slack, for the time in which routers disagree on their number
+inline constexpr std::size_t prefixEntries = 4096; // prompt parts in a router's map; about 300 KB
+inline constexpr duration prefixLifetime = 30s; // engines under load evict unused parts within this time
+inline constexpr double assumedPrefillTokensPerMs = 45; // engines of both deployments read 48 to 55 tokens a millisecond
+inline constexpr double engineStepMsPerRequest = 2.0; // added to the first event by each running request
+inline constexpr double homeCacheShare = 0.7; // of a prompt that its home engine keeps when this router has not seen it there
+inline constexpr double otherDomainMs = 2.0; // round trip between failure domains of one region
+inline constexpr double loadOverMean = 1.5; // an engine takes part in a choice below this multiple of the mean load
+inline constexpr double loadOverMeanSlack = 2.0; // requests; a ratio says nothing about a nearly idle fleet
+inline constexpr double engineFillLimit = 0.9; // of an engine's token memory, beyond which runs are preempted
+inline constexpr double serviceQueueShare = 1.0; // requests beyond its slots that a plain upstream gets, per slot
+inline constexpr double failurePenaltyMs = 400; // for an upstream that fails all its requests
+inline constexpr double failureWeight = 0.15; // of the newest answer in the moving average of failures
+inline constexpr duration firstAvoidance = 300ms; // after a failed connection; doubles with each further one
+inline constexpr duration longestAvoidance = 4s; // an upstream that came back is found within this time
+inline constexpr duration reportHalfLife = 700ms; // of what others have at an upstream since its last statement
+inline constexpr std::size_t coldRouters = 4; // routers that may send to one cold upstream
+inline constexpr double coldRateUsed = 0.9; // of the rate that a cold upstream tolerates
+inline constexpr std::size_t queueLimit = 512; // requests that wait for an upstream at one router
+inline constexpr double queueTargetShare = 0.25; // of its target that a request waits for room before it is refused
+inline constexpr duration retryAfterFull = 400ms; // a few answers have ended by then
+inline constexpr duration retryAfterNone = 1s; // a new upstream is listed within about a second
+inline constexpr duration retryAfterRefused = 200ms; // the caller's next try reaches another router and upstream
+inline constexpr duration retryAfterDraining = 20ms; // other routers are there at once
+inline constexpr duration drainAccepts = 2800ms; // new connections stop after two missed readiness checks, a second apart
+inline constexpr double overdueTargetShare = 0.6; // of its target after which an idempotent request is sent once more
+inline constexpr double overdueStreamTargets = 2.0; // targets without a first event that count against an upstream
+inline constexpr duration shortestUsefulTime = 20ms; // a request with less time left cannot be answered
+
+// Following the platform's objects, and news between routers.
+inline constexpr duration firstCallPause = 60ms; // after a failed call to the object API; doubles
+inline constexpr duration longestCallPause = 1s; // each call is priced, also a refused one
+inline constexpr duration outageAfter = 700ms; // of failed calls; a cut connection alone is mended sooner
+inline constexpr duration askInterval = 1s; // between exchanges with other routers
+inline constexpr duration askIntervalAlone = 300ms; // while the object API does not answer
+inline constexpr duration firstAskPause = 1s; // for a router that did not answer; doubles
+inline constexpr duration longestAskPause = 8s;
+inline constexpr duration routerCountedFor = 15s; // since a router was last heard of; shared limits stay divided that long
+
 } // namespace nutmegtally::limits
--- /dev/null
+++ b/src/object_follower.cpp
@@ -0,0 +1,196 @@
+#include "limits.h"
+
+#include <nutmegtally/ids.h>
+#include <nutmegtally/log_line.h>
+#include <nutmegtally/object_follower.h>
+
+#include <algorithm>
+
+namespace nutmegtally
+{
+
+object_follower::object_follower(follower_options options)
+    : m_options(std::move(options))
+{
+}
+
+void object_follower::apply(time_point now, const event &input, std::vector<effect> &effects)
+{
+    std::visit([&](const auto &each) { on(now, each, effects); }, input);
+}
+
+std::uint64_t object_follower::contentHash() const
+{
+    std::uint64_t hash = 0;
+    for (const auto &[name, object] : m_objects) {
+        hash ^= mixHash(hashText(name), object.revision);
+    }
+    return hash;
+}
+
+void object_follower::startList(std::vector<effect> &effects)
+{
+    m_phase = phase::listing;
+    m_listed.clear();
+    effects.emplace_back(follower_effect::read_page {});
+}
+
+void object_follower::startWait(std::vector<effect> &effects)
+{
+    m_phase = phase::waiting;
+    effects.emplace_back(follower_effect::wait_for_changes {m_asOf, m_options.wait});
+}
+
+void object_follower::answered(time_point now, std::vector<effect> &effects)
+{
+    if (m_failures == 0) {
+        return;
+    }
+    if (now - m_failingSince >= limits::outageAfter) {
+        m_regainedAt = now;
+    }
+    log_line line;
+    line.with("kind", m_options.kind).with("failures", m_failures).with("away_ms", now - m_failingSince);
+    effects.emplace_back(log_record {log_event::platformReachable, line.take()});
+    m_failures = 0;
+}
+
+void object_follower::on(time_point now, const follower_event::page_read &input, std::vector<effect> &effects)
+{
+    if (m_phase != phase::listing) {
+        return;
+    }
+    answered(now, effects);
+    m_listed.insert(m_listed.end(), input.objects.begin(), input.objects.end());
+    if (input.hasMore && !input.objects.empty()) {
+        effects.emplace_back(follower_effect::read_page {input.objects.back().name});
+        return;
+    }
+    log_line line;
+    line.with("kind", m_options.kind).with("objects", m_listed.size()).with("as_of", input.asOf).with("previous", m_asOf);
+    effects.emplace_back(log_record {log_event::listRead, line.take()});
+    m_mustList = false;
+    if (input.asOf >= m_asOf) {
+        // Later pages may hold newer objects than the first; the wait that follows repeats what changed meanwhile.
+        m_asOf = input.asOf;
+        replaceAll(now, std::move(m_listed), effects);
+    }
+    m_listed.clear();
+    m_isComplete = true;
+    startWait(effects);
+}
+
+void object_follower::on(time_point now, const follower_event::changes_read &input, std::vector<effect> &effects)
+{
+    if (m_phase != phase::waiting) {
+        return;
+    }
+    answered(now, effects);
+    for (const stored_object &object : input.objects) {
+        if (object.isDeleted) {
+            const auto known = m_objects.find(object.name);
+            if (known != m_objects.end() && known->second.revision <= object.revision) {
+                remove(now, object.name, effects);
+            }
+        } else {
+            change(object, effects);
+        }
+    }
+    m_asOf = std::max(m_asOf, input.asOf);
+    startWait(effects);
+}
+
+void object_follower::on(time_point now, const follower_event::history_lost &, std::vector<effect> &effects)
+{
+    answered(now, effects);
+    m_mustList = true;
+    startList(effects);
+}
+
+void object_follower::on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects)
+{
+    if (m_phase == phase::idle) {
+        return;
+    }
+    // A wait may just have been cut; only a second failure in a row is worth a pause.
+    if (m_failures == 0) {
+        m_failingSince = now;
+    }
+    m_mustList = m_mustList || m_phase == phase::listing;
+    m_phase = phase::idle;
+    const unsigned doublings = std::min(m_failures, 5U);
+    ++m_failures;
+    m_callAt = now + std::min(limits::longestCallPause, limits::firstCallPause * (1U << doublings));
+    if (m_failures == 2) {
+        log_line line;
+        line.with("kind", m_options.kind).with("why", input.why).with("as_of", m_asOf);
+        effects.emplace_back(log_record {log_event::platformUnreachable, line.take()});
+    }
+}
+
+void object_follower::on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects)
+{
+    if (input.asOf <= m_asOf) {
+        return;
+    }
+    log_line line;
+    line.with("kind", m_options.kind).with("from", input.from).with("as_of", input.asOf).with("previous", m_asOf);
+    effects.emplace_back(log_record {log_event::newsTaken, line.take()});
+    m_asOf = input.asOf;
+    replaceAll(now, input.objects, effects);
+    m_isComplete = true;
+    m_mustList = false;
+}
+
+void object_follower::on(time_point now, const follower_event::tick &, std::vector<effect> &effects)
+{
+    if (m_phase != phase::idle || now < m_callAt) {
+        return;
+    }
+    if (m_mustList) {
+        startList(effects);
+    } else {
+        startWait(effects);
+    }
+}
+
+void object_follower::replaceAll(time_point now, std::vector<stored_object> objects, std::vector<effect> &effects)
+{
+    std::vector<std::string> missing;
+    for (const auto &[name, object] : m_objects) {
+        const bool listed = std::any_of(objects.begin(), objects.end(), [&name](const stored_object &each) { return each.name == name; });
+        if (!listed) {
+            missing.push_back(name);
+        }
+    }
+    for (const std::string &name : missing) {
+        remove(now, name, effects);
+    }
+    for (const stored_object &object : objects) {
+        change(object, effects);
+    }
+}
+
+void object_follower::change(const stored_object &object, std::vector<effect> &effects)
+{
+    stored_object &known = m_objects[object.name];
+    if (known.revision >= object.revision) {
+        return;
+    }
+    known = object;
+    effects.emplace_back(follower_effect::object_changed {object});
+}
+
+void object_follower::remove(time_point now, const std::string &name, std::vector<effect> &effects)
+{
+    m_objects.erase(name);
+    duration grace {0};
+    if (m_failures > 0) {
+        grace = m_options.missingGrace; // told by another router while the API is away
+    } else if (m_regainedAt && now - *m_regainedAt < m_options.missingGrace) {
+        grace = m_options.missingGrace - (now - *m_regainedAt);
+    }
+    effects.emplace_back(follower_effect::object_removed {name, grace});
+}
+
+} // namespace nutmegtally
--- /dev/null
+++ b/src/prefix_map.cpp
@@ -0,0 +1,78 @@
+#include "limits.h"
+
+#include <nutmegtally/prefix_map.h>
+
+#include <algorithm>
+
+namespace nutmegtally
+{
+
+std::uint64_t totalTokens(const prompt_parts &parts)
+{
+    std::uint64_t sum = 0;
+    for (const prompt_part &part : parts) {
+        sum += part.tokens;
+    }
+    return sum;
+}
+
+std::uint64_t subjectOf(const prompt_parts &parts)
+{
+    if (parts.empty()) {
+        return 0;
+    }
+    return parts.size() == 1 ? parts.front().id : parts[parts.size() - 2].id;
+}
+
+bool prefix_map::isFresh(const holder &entry, time_point now)
+{
+    return now - entry.usedAt < limits::prefixLifetime;
+}
+
+void prefix_map::note(const prompt_parts &parts, std::uint32_t upstream, time_point now)
+{
+    if (m_holders.size() + parts.size() > limits::prefixEntries) {
+        evict(now);
+    }
+    for (const prompt_part &part : parts) {
+        std::vector<holder> &holders = m_holders[part.id];
+        const auto known = std::find_if(holders.begin(), holders.end(), [upstream](const holder &h) { return h.upstream == upstream; });
+        if (known != holders.end()) {
+            known->usedAt = now;
+            continue;
+        }
+        std::erase_if(holders, [now](const holder &h) { return !isFresh(h, now); });
+        holders.push_back({upstream, now});
+    }
+}
+
+std::uint64_t prefix_map::cachedTokens(const prompt_parts &parts, std::uint32_t upstream, time_point now) const
+{
+    std::uint64_t tokens = 0;
+    for (const prompt_part &part : parts) {
+        const auto found = m_holders.find(part.id);
+        if (found == m_holders.end()) {
+            break;
+        }
+        const bool held = std::any_of(found->second.begin(), found->second.end(),
+                                      [upstream, now](const holder &h) { return h.upstream == upstream && isFresh(h, now); });
+        if (!held) {
+            break;
+        }
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+void prefix_map::evict(time_point now)
+{
+    // Halves the lifetime until there is room: the oldest entries leave first without a sorted index.
+    for (duration lifetime = limits::prefixLifetime; m_holders.size() * 2 > limits::prefixEntries && lifetime.count() > 0; lifetime /= 2) {
+        for (auto it = m_holders.begin(); it != m_holders.end();) {
+            std::erase_if(it->second, [now, lifetime](const holder &h) { return now - h.usedAt >= lifetime; });
+            it = it->second.empty() ? m_holders.erase(it) : std::next(it);
+        }
+    }
+}
+
+} // namespace nutmegtally
--- /dev/null
+++ b/src/router_news.cpp
@@ -0,0 +1,117 @@
+#include "limits.h"
+
+#include <nutmegtally/log_line.h>
+#include <nutmegtally/router_news.h>
+
+#include <algorithm>
+
+namespace nutmegtally
+{
+
+router_news::router_news(news_options options)
+    : m_options(std::move(options))
+{
+    for (const std::string &seed : m_options.seeds) {
+        if (seed != m_options.address) {
+            m_targets[seed];
+        }
+    }
+}
+
+void router_news::apply(time_point now, const event &input, std::vector<effect> &effects)
+{
+    std::visit([&](const auto &each) { on(now, each, effects); }, input);
+}
+
+std::vector<router_notice> router_news::known(time_point now) const
+{
+    std::vector<router_notice> notices;
+    for (const auto &[name, other] : m_routers) {
+        if (now - other.heardAt < limits::routerCountedFor) {
+            notices.push_back({name, other.address, now - other.heardAt});
+        }
+    }
+    return notices;
+}
+
+void router_news::note(const std::string &name, const std::string &address, time_point heardAt)
+{
+    if (name == m_options.name || name.empty()) {
+        return;
+    }
+    router &known = m_routers[name];
+    if (known.address.empty() || heardAt > known.heardAt) {
+        known.address = address;
+        known.heardAt = heardAt;
+        m_targets[address];
+    }
+}
+
+void router_news::on(time_point now, const news_event::heard &input, std::vector<effect> &effects)
+{
+    note(input.name, input.address, now);
+    target &teller = m_targets[input.address];
+    teller.failures = 0;
+    teller.notBefore = now;
+    for (const router_notice &notice : input.known) {
+        if (notice.age < limits::routerCountedFor) {
+            note(notice.name, notice.address, now - notice.age);
+        }
+    }
+    tellLive(now, effects);
+}
+
+void router_news::on(time_point now, const news_event::exchange_failed &input, std::vector<effect> &effects)
+{
+    target &asked = m_targets[input.address];
+    const unsigned doublings = std::min(asked.failures, 4U);
+    ++asked.failures;
+    asked.notBefore = now + std::min(limits::longestAskPause, limits::firstAskPause * (1U << doublings));
+    if (asked.failures == 1) {
+        log_line line;
+        line.with("address", input.address);
+        effects.emplace_back(log_record {log_event::peerUnreachable, line.take()});
+    }
+}
+
+void router_news::on(time_point now, const news_event::tick &input, std::vector<effect> &effects)
+{
+    std::erase_if(m_routers, [now](const auto &entry) { return now - entry.second.heardAt > limits::routerCountedFor; });
+    tellLive(now, effects);
+    if (now < m_nextAsk) {
+        return;
+    }
+    m_nextAsk = now + (input.hasContact ? limits::askInterval : limits::askIntervalAlone);
+    // The one that was asked longest ago; addresses of routers that are gone drop out with their pauses.
+    auto next = m_targets.end();
+    for (auto it = m_targets.begin(); it != m_targets.end(); ++it) {
+        if (it->first != m_options.address && now >= it->second.notBefore
+            && (next == m_targets.end() || it->second.askedAt < next->second.askedAt)) {
+            next = it;
+        }
+    }
+    if (next != m_targets.end()) {
+        next->second.askedAt = now;
+        effects.push_back(news_effect::ask {next->first});
+    }
+}
+
+void router_news::tellLive(time_point now, std::vector<effect> &effects)
+{
+    // Counted down late: a router that cannot hear others must not take their part of a shared limit.
+    std::vector<std::string> live {m_options.name};
+    for (const auto &[name, other] : m_routers) {
+        if (now - other.heardAt < limits::routerCountedFor) {
+            live.push_back(name);
+        }
+    }
+    std::sort(live.begin(), live.end());
+    if (live == m_live && m_toldOnce) {
+        return;
+    }
+    m_live = live;
+    m_toldOnce = true;
+    effects.push_back(news_effect::routers_changed {std::move(live)});
+}
+
+} // namespace nutmegtally
--- /dev/null
+++ b/src/upstream_set.cpp
@@ -0,0 +1,362 @@
+#include "limits.h"
+
+#include <nutmegtally/ids.h>
+#include <nutmegtally/upstream_set.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegtally
+{
+
+namespace
+{
+
+double milliseconds(duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+double halved(duration age, duration halfLife)
+{
+    return std::exp2(-milliseconds(age) / milliseconds(halfLife));
+}
+
+/// Rank of an upstream for a subject; the highest of all is the subject's home.
+std::uint64_t rankOf(std::uint64_t subject, const std::string &instance)
+{
+    return mixHash(subject, hashText(instance));
+}
+
+} // namespace
+
+upstream_set::upstream_set(std::string ownDomain)
+    : m_ownDomain(std::move(ownDomain))
+{
+}
+
+bool upstream_set::list(const upstream_record &record, time_point now)
+{
+    const auto known = m_upstreams.find(record.instance);
+    const time_point coldUntil = now + record.coldFor;
+    if (known != m_upstreams.end() && known->second.record.incarnation == record.incarnation
+        && known->second.record.address == record.address) {
+        upstream_state &state = known->second;
+        upstream_record same = state.record;
+        same.coldFor = record.coldFor;
+        const bool changed = !(same == record) || state.missing;
+        state.record = record;
+        state.missing = false;
+        state.coldUntil = coldUntil;
+        return changed;
+    }
+    upstream_state state;
+    state.record = record;
+    state.number = ++m_lastNumber;
+    state.coldUntil = coldUntil;
+    state.coldRefilledAt = now;
+    state.coldTokens = 1;
+    if (known != m_upstreams.end()) {
+        m_instanceOf.erase(known->second.number);
+    }
+    m_instanceOf[state.number] = record.instance;
+    m_upstreams[record.instance] = std::move(state);
+    return true;
+}
+
+void upstream_set::unlist(const std::string &instance, time_point now, duration grace)
+{
+    const auto known = m_upstreams.find(instance);
+    if (known == m_upstreams.end()) {
+        return;
+    }
+    if (grace.count() > 0) {
+        if (!known->second.missing) {
+            known->second.missing = true;
+            known->second.missingUntil = now + grace;
+        }
+        return;
+    }
+    m_instanceOf.erase(known->second.number);
+    m_upstreams.erase(known);
+}
+
+std::vector<std::string> upstream_set::expire(time_point now)
+{
+    std::vector<std::string> removed;
+    for (const auto &[instance, state] : m_upstreams) {
+        if (state.missing && state.missingUntil <= now) {
+            removed.push_back(instance);
+        }
+    }
+    for (const std::string &instance : removed) {
+        unlist(instance, now, duration(0));
+    }
+    return removed;
+}
+
+void upstream_set::setClosedDomains(std::unordered_set<std::string> domains)
+{
+    m_closedDomains = std::move(domains);
+}
+
+void upstream_set::setRouters(std::string self, std::vector<std::string> live)
+{
+    m_self = std::move(self);
+    m_routers = std::move(live);
+    if (std::find(m_routers.begin(), m_routers.end(), m_self) == m_routers.end()) {
+        m_routers.push_back(m_self);
+    }
+    std::sort(m_routers.begin(), m_routers.end());
+}
+
+double upstream_set::estimatedLoad(const upstream_state &upstream, time_point now)
+{
+    double others = 0;
+    if (upstream.hasReport) {
+        const double total = upstream.reported.running + upstream.reported.waiting;
+        others = std::max(0.0, total - upstream.inFlightAtReport) * halved(now - upstream.reportedAt, limits::reportHalfLife);
+    }
+    return upstream.inFlight + others;
+}
+
+bool upstream_set::isOpen(const upstream_state &upstream) const
+{
+    return !upstream.record.isLeaving && !m_closedDomains.contains(upstream.record.domain);
+}
+
+bool upstream_set::mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const
+{
+    if (now >= upstream.coldUntil || rule.coldRequestsPerSecond <= 0) {
+        return true;
+    }
+    // Only a few routers use a cold upstream, each with its part of the rate: many parts would be too small to use.
+    std::vector<std::pair<std::uint64_t, const std::string *>> ranked;
+    for (const std::string &router : m_routers) {
+        ranked.emplace_back(mixHash(hashText(router), hashText(upstream.record.instance)), &router);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    const std::size_t sharing = std::min(limits::coldRouters, std::max<std::size_t>(1, ranked.size()));
+    const bool shares = ranked.empty()
+                        || std::any_of(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(sharing),
+                                       [this](const auto &entry) { return *entry.second == m_self; });
+    if (!shares) {
+        return false;
+    }
+    const double perSecond = limits::coldRateUsed * rule.coldRequestsPerSecond / static_cast<double>(sharing);
+    const double seconds = milliseconds(now - upstream.coldRefilledAt) / 1000.0;
+    upstream.coldTokens = std::min(1.0, upstream.coldTokens + seconds * perSecond);
+    upstream.coldRefilledAt = now;
+    return upstream.coldTokens >= 1.0;
+}
+
+double upstream_set::scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule, bool isHome,
+                                 placement &details, time_point now) const
+{
+    const std::uint64_t total = totalTokens(*request.parts);
+    std::uint64_t cached = m_prefixes.cachedTokens(*request.parts, upstream.number, now);
+    if (isHome && !request.parts->empty()) {
+        const std::uint64_t shared = total - request.parts->back().tokens;
+        cached = std::max(cached, static_cast<std::uint64_t>(limits::homeCacheShare * static_cast<double>(shared)));
+    }
+    details.cachedTokens = cached;
+    details.load = estimatedLoad(upstream, now);
+    double score = static_cast<double>(total - cached + upstream.pendingTokens) / limits::assumedPrefillTokensPerMs;
+    score += details.load * limits::engineStepMsPerRequest;
+    if (rule.cacheTokens > 0 && upstream.inFlight > 0) {
+        // Memory of all routers' requests, from this router's own and its part of the load.
+        const double held = static_cast<double>(upstream.heldTokens) * std::max(1.0, details.load / upstream.inFlight);
+        const double over = (held + static_cast<double>(total)) / static_cast<double>(rule.cacheTokens) - limits::engineFillLimit;
+        score += over > 0 ? 1000.0 * over : 0;
+    }
+    return score;
+}
+
+double upstream_set::scoreService(const upstream_state &upstream, time_point now) const
+{
+    const double load = estimatedLoad(upstream, now);
+    const double slots = std::max(1U, upstream.record.slots);
+    // Beyond its slots a request waits for another one to end.
+    const double waiting = std::max(0.0, load + 1 - slots);
+    return 10.0 * load / slots + 60.0 * waiting / slots;
+}
+
+placement upstream_set::choose(const placement_request &request, const traffic_rules &rules, time_point now)
+{
+    placement best;
+    const service_rule *rule = rules.service(request.service);
+    if (rule == nullptr) {
+        return best;
+    }
+    const bool isEngine = request.parts != nullptr && rule->engineSlots > 0;
+    const std::uint64_t subject = isEngine ? subjectOf(*request.parts) : 0;
+
+    std::vector<upstream_state *> open;
+    bool anyOpen = false;
+    bool anyTried = false;
+    double totalLoad = 0;
+    double totalFailures = 0;
+    const upstream_state *home = nullptr;
+    std::uint64_t homeRank = 0;
+    for (auto &[instance, state] : m_upstreams) {
+        if (state.record.service != request.service || !isOpen(state)) {
+            continue;
+        }
+        anyOpen = true;
+        if (request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(), state.number) != request.tried->end()) {
+            anyTried = true;
+            continue;
+        }
+        open.push_back(&state);
+        totalLoad += estimatedLoad(state, now);
+        totalFailures += state.failureRate;
+        const std::uint64_t rank = isEngine ? rankOf(subject, instance) : 0;
+        if (isEngine && now >= state.avoidedUntil && (home == nullptr || rank > homeRank)) {
+            home = &state;
+            homeRank = rank;
+        }
+    }
+    if (open.empty()) {
+        best.outcome = anyOpen && anyTried ? placement_outcome::allTried : placement_outcome::noneListed;
+        return best;
+    }
+    const double count = static_cast<double>(open.size());
+    const double loadBound = limits::loadOverMean * totalLoad / count + limits::loadOverMeanSlack;
+    const bool anyUsable = std::any_of(open.begin(), open.end(), [now](const upstream_state *s) { return now >= s->avoidedUntil; });
+
+    bool sawCold = false;
+    best.outcome = placement_outcome::allFull;
+    double bestTie = 0;
+    for (upstream_state *state : open) {
+        if (anyUsable && now < state->avoidedUntil) {
+            continue;
+        }
+        const double load = estimatedLoad(*state, now);
+        const double slots = std::max(1U, state->record.slots);
+        const double most = isEngine ? std::min(slots, loadBound) : slots * (1.0 + limits::serviceQueueShare);
+        if (load + 1 > most) {
+            continue;
+        }
+        if (!mayStartCold(*state, *rule, now)) {
+            sawCold = true;
+            continue;
+        }
+        placement option;
+        option.upstream = state->number;
+        double score = isEngine ? scoreEngine(*state, request, *rule, state == home, option, now) : scoreService(*state, now);
+        score += state->record.domain == m_ownDomain ? 0 : limits::otherDomainMs;
+        score += limits::failurePenaltyMs * std::max(0.0, state->failureRate - totalFailures / count);
+        option.score = score;
+        option.load = load;
+        option.loadAge = state->hasReport ? now - state->reportedAt : duration(0);
+        const double tie = static_cast<double>(mixHash(request.tieBreak, state->number) >> 11);
+        const bool better
+            = best.upstream == noUpstreamNumber || score < best.score - 0.001 || (score < best.score + 0.001 && tie > bestTie);
+        if (better) {
+            best = option;
+            bestTie = tie;
+        }
+    }
+    best.candidates = static_cast<unsigned>(open.size());
+    if (best.upstream != noUpstreamNumber) {
+        best.outcome = placement_outcome::chosen;
+    } else {
+        best.outcome = sawCold ? placement_outcome::allCold : placement_outcome::allFull;
+    }
+    return best;
+}
+
+void upstream_set::start(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, time_point now)
+{
+    upstream_state *state = mutableState(number);
+    if (state == nullptr) {
+        return;
+    }
+    ++state->inFlight;
+    state->pendingTokens += promptTokens;
+    state->heldTokens += heldTokens;
+    if (now < state->coldUntil) {
+        state->coldTokens -= 1.0;
+    }
+}
+
+void upstream_set::firstAnswer(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, time_point now)
+{
+    upstream_state *state = mutableState(number);
+    if (state == nullptr) {
+        return;
+    }
+    state->pendingTokens -= std::min(state->pendingTokens, promptTokens);
+    m_prefixes.note(parts, number, now);
+}
+
+void upstream_set::reportLoad(upstream_number number, const upstream_load &load, time_point now)
+{
+    upstream_state *state = mutableState(number);
+    if (state == nullptr) {
+        return;
+    }
+    state->reported = load;
+    state->reportedAt = now;
+    state->inFlightAtReport = state->inFlight;
+    state->hasReport = true;
+}
+
+void upstream_set::finish(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, bool awaitsFirst)
+{
+    upstream_state *state = mutableState(number);
+    if (state == nullptr) {
+        return;
+    }
+    state->inFlight -= state->inFlight > 0 ? 1 : 0;
+    state->heldTokens -= std::min(state->heldTokens, heldTokens);
+    if (awaitsFirst) {
+        state->pendingTokens -= std::min(state->pendingTokens, promptTokens);
+    }
+}
+
+void upstream_set::judge(upstream_number number, upstream_verdict verdict, time_point now)
+{
+    upstream_state *state = mutableState(number);
+    if (state == nullptr || verdict == upstream_verdict::unknown) {
+        return;
+    }
+    const bool failed = verdict != upstream_verdict::good && verdict != upstream_verdict::refused;
+    state->failureRate += limits::failureWeight * ((failed ? 1.0 : 0.0) - state->failureRate);
+    switch (verdict) {
+    case upstream_verdict::unreachable:
+    case upstream_verdict::lost:
+    case upstream_verdict::overdue: {
+        const bool repeated = ++state->failuresInRow > 1;
+        if (verdict == upstream_verdict::unreachable || repeated) {
+            const unsigned doublings = std::min(state->failuresInRow - 1, 6U);
+            state->avoidedUntil = now + std::min(limits::longestAvoidance, limits::firstAvoidance * (1U << doublings));
+        }
+        break;
+    }
+    default:
+        state->failuresInRow = 0;
+        state->avoidedUntil = now;
+        break;
+    }
+}
+
+upstream_state *upstream_set::mutableState(upstream_number number)
+{
+    const auto instance = m_instanceOf.find(number);
+    return instance == m_instanceOf.end() ? nullptr : &m_upstreams.at(instance->second);
+}
+
+const upstream_state *upstream_set::find(upstream_number number) const
+{
+    const auto instance = m_instanceOf.find(number);
+    return instance == m_instanceOf.end() ? nullptr : &m_upstreams.at(instance->second);
+}
+
+bool upstream_set::mayUse(upstream_number number) const
+{
+    const upstream_state *state = find(number);
+    return state != nullptr && isOpen(*state);
+}
+
+} // namespace nutmegtally
