entry_daemon: keep the closed listener until its pending accept has ended

Ruled out: a closed idle connection crossing a request; the cut requests were all in the middle of their answers.

--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -492,9 +492,8 @@
     }
     const duration since = now() - *m_shutdownSince;
     const bool accepts = since < acceptWhileLeaving;
-    if (!accepts && m_callers) {
+    if (!accepts) {
         m_callers->close();
-        m_callers.reset();
     }
     m_serving.closeIdleCallers(accepts ? idleBeforeShutdownClose : duration(0));
     const std::size_t open = m_serving.decisions().openExchanges();
