Load notices between routers; placement by who keeps the prompt; cached parts fetched instead of read again

Change: each router tells its requests and prompts by datagram every 100 ms or 10 ms a router; an engine that keeps the prompt is preferred, a new subject goes to one of two homes by hash, and what another engine keeps is fetched from it.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -143,6 +143,11 @@
     exchange_id exchange = 0;
 };
 
+/// Another router told its load.
+struct load_told {
+    load_notice notice;
+};
+
 /// The answer may be relayed: it is whole, or a stream's head.
 struct answer_received {
     exchange_id exchange = 0;
@@ -188,6 +193,7 @@
     bool isResumable = false;
     bool mayRepeat = false; // false: use a connection that is surely open
     bool isResume = false; // go on after the last event that the caller got
+    std::string fetchFrom; // address of an upstream that keeps more of the prompt; empty for none
 };
 
 /// Close the upstream connection of the running attempt.
@@ -228,7 +234,7 @@
 public:
     using event = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
                                entry_event::closures_changed, entry_event::routers_changed, entry_event::request_received,
-                               entry_event::caller_left, entry_event::answer_received, entry_event::attempt_failed,
+                               entry_event::caller_left, entry_event::load_told, entry_event::answer_received, entry_event::attempt_failed,
                                entry_event::stream_broken, entry_event::answer_finished, entry_event::drain_requested, entry_event::tick>;
     using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer, entry_effect::refuse,
                                 entry_effect::cut_answer, exchange_report, log_record>;
@@ -259,6 +265,12 @@
         return m_rules.get();
     }
 
+    /// What this router tells the others, since the last call.
+    load_notice takeNotice()
+    {
+        return m_upstreams.takeNotice();
+    }
+
     const upstream_set &upstreams() const
     {
         return m_upstreams;
@@ -303,6 +315,7 @@
     void on(time_point now, const entry_event::routers_changed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::request_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::caller_left &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::load_told &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::attempt_failed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects);
--- a/include/nutmegtally/prefix_map.h
+++ b/include/nutmegtally/prefix_map.h
@@ -29,8 +29,8 @@
 class prefix_map
 {
 public:
-    /// Records that an upstream has read a prompt.
-    void note(const prompt_parts &parts, std::uint32_t upstream, time_point now);
+    /// Records that an upstream reads a prompt.
+    void note(const std::vector<std::uint64_t> &parts, std::uint32_t upstream, time_point now);
 
     /// Tokens at the start of a prompt that the upstream probably keeps.
     std::uint64_t cachedTokens(const prompt_parts &parts, std::uint32_t upstream, time_point now) const;
--- a/include/nutmegtally/router_news.h
+++ b/include/nutmegtally/router_news.h
@@ -17,6 +17,7 @@
 struct router_notice {
     std::string name;
     std::string address; // IP number and port of its listener for other routers
+    std::string loadAddress; // where it takes load notices
     duration age {0}; // since the teller heard of it
 };
 
@@ -33,6 +34,7 @@
 struct heard {
     std::string name;
     std::string address;
+    std::string loadAddress;
     std::vector<router_notice> known;
 };
 
@@ -76,6 +78,7 @@
 private:
     struct router {
         std::string address;
+        std::string loadAddress;
         time_point heardAt;
     };
 
@@ -88,7 +91,7 @@
     void on(time_point now, const news_event::heard &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::exchange_failed &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::tick &input, std::vector<effect> &effects);
-    void note(const std::string &name, const std::string &address, time_point heardAt);
+    void note(const std::string &name, const std::string &address, const std::string &loadAddress, time_point heardAt);
     void tellLive(time_point now, std::vector<effect> &effects);
 
     news_options m_options;
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -2,10 +2,12 @@
 // flight there, and how often they failed. Chooses the upstream for a request.
 #pragma once
 
+#include <nutmegtally/load_notice.h>
 #include <nutmegtally/prefix_map.h>
 #include <nutmegtally/time.h>
 #include <nutmegtally/traffic_rules.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -76,7 +78,9 @@
     double score = 0; // expected delay in milliseconds
     double load = 0; // estimated requests at the upstream before this one
     duration loadAge {0}; // since the upstream's last own statement
-    std::uint64_t cachedTokens = 0;
+    std::uint64_t cachedTokens = 0; // that the upstream probably keeps
+    std::string fetchFrom; // address of an upstream that keeps more of the prompt; empty if none does
+    std::uint64_t fetchTokens = 0; // what it keeps beyond the chosen one
     unsigned candidates = 0;
 };
 
@@ -92,6 +96,14 @@
     count
 };
 
+/// Another router's requests at an upstream, as it told last.
+struct told_share {
+    std::uint32_t router = 0; // index in the set's table of router names
+    std::uint32_t inFlight = 0;
+    std::uint32_t pendingTokens = 0;
+    time_point toldAt;
+};
+
 /// One listed incarnation and what this router knows of it.
 struct upstream_state {
     upstream_record record;
@@ -104,6 +116,7 @@
     time_point reportedAt;
     unsigned inFlightAtReport = 0;
     bool hasReport = false;
+    std::vector<told_share> told; // by other routers
     double failureRate = 0; // moving average over answers, 0 to 1
     unsigned failuresInRow = 0; // without an answer between them
     time_point avoidedUntil;
@@ -139,10 +152,16 @@
     placement choose(const placement_request &request, const traffic_rules &rules, time_point now);
 
     /// Counts a request that is sent now.
-    void start(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, time_point now);
+    void start(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, std::uint64_t heldTokens, time_point now);
 
     /// First event of the request's answer, or its whole answer.
-    void firstAnswer(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, time_point now);
+    void firstAnswer(upstream_number number, std::uint64_t promptTokens);
+
+    /// Takes over what another router told.
+    void hear(const load_notice &notice, time_point now);
+
+    /// What this router tells: its shares, and the prompts that it sent since the last call.
+    load_notice takeNotice();
 
     void reportLoad(upstream_number number, const upstream_load &load, time_point now);
 
@@ -169,13 +188,19 @@
     }
 
     /// Requests at an upstream: what it stated, corrected by what this router started and ended since.
-    static double estimatedLoad(const upstream_state &upstream, time_point now);
+    double estimatedLoad(const upstream_state &upstream, time_point now) const;
 
 private:
+    /// A subject's upstreams by rank; new subjects go to one of the first two.
+    static constexpr std::size_t homes = 2;
+    using home_list = std::array<const upstream_state *, homes>;
+
     bool isOpen(const upstream_state &upstream) const;
     bool mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const;
-    double scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule, bool isHome,
+    double scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule, const home_list &ranked,
                        placement &details, time_point now) const;
+    const upstream_state *bestHolder(const prompt_parts &parts, std::uint64_t &tokens, time_point now) const;
+    std::uint64_t pendingTokens(const upstream_state &upstream, time_point now) const;
     double scoreService(const upstream_state &upstream, time_point now) const;
     upstream_state *mutableState(upstream_number number);
 
@@ -185,7 +210,11 @@
     std::unordered_set<std::string> m_closedDomains;
     std::string m_self;
     std::vector<std::string> m_routers; // live ones with this one, sorted
-    prefix_map m_prefixes;
+    prefix_map m_prefixes; // prompts of this router and those that others told of
+    std::unordered_map<std::uint64_t, upstream_number> m_numberOf; // by hash of the instance's name
+    std::unordered_map<std::string, std::uint32_t> m_tellers; // index of each router that ever told its load
+    std::unordered_map<std::uint32_t, time_point> m_toldAt; // last notice of each teller
+    std::vector<prompt_notice> m_untold; // prompts sent since the last notice
     upstream_number m_lastNumber = noUpstreamNumber;
 };
 
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -20,6 +20,9 @@
 constexpr duration callMargin = 1s; // for the answer to a wait beyond the time it may wait
 constexpr duration listTimeout = 1500ms; // for one page of a list; a slow store answers in hundreds of milliseconds
 constexpr duration askTimeout = 800ms; // for another router's answer
+constexpr duration loadInterval = 100ms; // between load notices in a small fleet; a request's first event takes about as long
+constexpr duration loadIntervalPerRouter = 10ms; // a router takes a hundred notices a second, whatever their number
+constexpr duration loadPeerAge = 5s; // routers that were not heard of for longer get no notices
 constexpr duration gapWorthTelling = 1s; // between ticks; the process was frozen or starved
 constexpr duration idleBeforeShutdownClose = 1500ms; // of a caller's connection; a busier one is told to close by its next answer
 constexpr duration acceptWhileLeaving = 2800ms; // the balancer stops sending after two missed checks a second apart
@@ -130,6 +133,8 @@
     , m_news(newsOptionsFrom(settings))
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(context)
+    , m_loadSocket(context)
+    , m_loadTimer(context)
     , m_lastTick(time_point(bootTime()))
 {
     log_line line;
@@ -158,7 +163,16 @@
         m_metricsServer = std::make_unique<call_server>(context, settings.metricsListen, clock,
                                                         [this](const http_head &head, const std::string &) { return answerMetrics(head); });
     }
+    const auto loadEndpoint = parseEndpoint(settings.loadListen);
+    if (!loadEndpoint) {
+        throw boost::system::system_error(boost::asio::error::invalid_argument, "listen address " + settings.loadListen);
+    }
+    m_loadSocket.open(boost::asio::ip::udp::v4());
+    m_loadSocket.bind({loadEndpoint->address(), loadEndpoint->port()});
+    m_loadSocket.non_blocking(true);
     awaitSignals();
+    hearLoad();
+    tellLoad();
     tick();
 }
 
@@ -308,6 +322,7 @@
     news_message message;
     message.name = m_settings.name;
     message.address = m_settings.routersListen;
+    message.loadAddress = m_settings.loadListen;
     message.routers = m_news.known(now());
     for (std::size_t i = 0; i < followedKinds; ++i) {
         message.digests.push_back({std::string(followedNames[i]), m_followers[i].asOf(), m_followers[i].contentHash()});
@@ -338,7 +353,7 @@
 
 void entry_daemon::takeNews(const news_message &message)
 {
-    apply(news_event::heard {message.name, message.address, message.routers});
+    apply(news_event::heard {message.name, message.address, message.loadAddress, message.routers});
     for (const kind_snapshot &snapshot : message.snapshots) {
         for (std::size_t i = 0; i < followedKinds; ++i) {
             if (followedNames[i] == snapshot.kind) {
@@ -348,6 +363,45 @@
     }
 }
 
+void entry_daemon::tellLoad()
+{
+    const std::vector<router_notice> routers = m_news.known(now());
+    const std::string bytes = encodeNotice(m_serving.takeNotice());
+    for (const router_notice &router : routers) {
+        const auto peer = parseEndpoint(router.loadAddress);
+        if (peer && router.age < loadPeerAge) {
+            boost::system::error_code ignored; // the next notice replaces one that was lost
+            m_loadSocket.send_to(boost::asio::buffer(bytes), {peer->address(), peer->port()}, 0, ignored);
+        }
+    }
+    m_loadTimer.expires_after(std::max(loadInterval, loadIntervalPerRouter * static_cast<std::int64_t>(routers.size())));
+    m_loadTimer.async_wait([this](const boost::system::error_code &fault) {
+        if (!fault && !m_stopped) {
+            tellLoad();
+        }
+    });
+}
+
+void entry_daemon::hearLoad()
+{
+    m_loadSocket.async_receive_from(boost::asio::buffer(m_datagram), m_loadSender,
+                                    [this](const boost::system::error_code &fault, std::size_t bytes) {
+                                        if (fault == boost::asio::error::operation_aborted) {
+                                            return;
+                                        }
+                                        if (!fault) {
+                                            try {
+                                                m_serving.post(entry_event::load_told {decodeNotice(m_datagram.data(), bytes)});
+                                            } catch (const std::exception &problem) {
+                                                log_line line;
+                                                line.with("from", m_loadSender.address().to_string()).with("why", problem.what());
+                                                carryOut(log_record {log_event::noticeUnreadable, line.take()});
+                                            }
+                                        }
+                                        hearLoad();
+                                    });
+}
+
 own_answer entry_daemon::answerRouter(const http_head &head, const std::string &body)
 {
     if (head.target != routersPath) {
@@ -359,7 +413,7 @@
     } catch (const std::exception &fault) {
         return plainAnswer(400, std::string(fault.what()) + '\n');
     }
-    apply(news_event::heard {question.name, question.address, question.routers});
+    apply(news_event::heard {question.name, question.address, question.loadAddress, question.routers});
     news_message answer = ownNews();
     for (std::size_t i = 0; i < followedKinds; ++i) {
         const object_follower &own = m_followers[i];
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -16,6 +16,7 @@
 #include <nutmegtally/router_news.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -70,6 +71,9 @@
     void takeNews(const news_message &message);
     own_answer answerRouter(const http_head &head, const std::string &body);
 
+    void tellLoad();
+    void hearLoad();
+
     own_answer answerReady(const http_head &head) const;
     own_answer answerMetrics(const http_head &head);
     bool isReady() const;
@@ -91,6 +95,10 @@
     router_news m_news;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
+    boost::asio::ip::udp::socket m_loadSocket;
+    boost::asio::steady_timer m_loadTimer;
+    boost::asio::ip::udp::endpoint m_loadSender; // of the datagram that is received
+    std::array<char, 8192> m_datagram;
     std::unique_ptr<listener> m_callers;
     std::unique_ptr<call_server> m_readyServer;
     std::unique_ptr<call_server> m_routerServer;
--- a/programs/entry/entry_main.cpp
+++ b/programs/entry/entry_main.cpp
@@ -40,8 +40,8 @@
 {
     try {
         TCLAP::CmdLine command("Routes callers of a platform to its upstreams", ' ', NUTMEGTALLY_VERSION);
-        TCLAP::ValueArg<std::string> settings("s", "settings", "Settings file; default is the path that the platform gives", false, "", "FILE",
-                                              command);
+        TCLAP::ValueArg<std::string> settings("s", "settings", "Settings file; default is the path that the platform gives", false, "",
+                                              "FILE", command);
         TCLAP::SwitchArg check("c", "check", "Check the settings file and exit", command);
         command.setExceptionHandling(false);
         command.parse(argc, argv);
--- a/programs/entry/entry_settings.cpp
+++ b/programs/entry/entry_settings.cpp
@@ -40,6 +40,7 @@
     settings.listen = document.at("listen").get<std::string>();
     settings.readyListen = document.at("readyListen").get<std::string>();
     settings.routersListen = document.at("routersListen").get<std::string>();
+    settings.loadListen = document.at("loadListen").get<std::string>();
     settings.metricsListen = document.value("metricsListen", settings.metricsListen);
     settings.seeds = document.value("seeds", settings.seeds);
     settings.objects = document.at("objects").get<std::string>();
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -19,6 +19,7 @@
     std::string listen;
     std::string readyListen;
     std::string routersListen;
+    std::string loadListen; // UDP
     std::string metricsListen; // empty for none
     std::vector<std::string> seeds;
     std::string objects;
--- a/programs/entry/news_codec.cpp
+++ b/programs/entry/news_codec.cpp
@@ -12,7 +12,7 @@
     json routers = json::array();
     for (const router_notice &notice : message.routers) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(notice.age).count();
-        routers.push_back({notice.name, notice.address, age});
+        routers.push_back({notice.name, notice.address, notice.loadAddress, age});
     }
     json digests = json::object();
     for (const kind_digest &digest : message.digests) {
@@ -26,8 +26,11 @@
         }
         snapshots[snapshot.kind] = {{"asOf", snapshot.asOf}, {"objects", std::move(objects)}};
     }
-    json document
-        = {{"name", message.name}, {"address", message.address}, {"routers", std::move(routers)}, {"digests", std::move(digests)}};
+    json document = {{"name", message.name},
+                     {"address", message.address},
+                     {"loadAddress", message.loadAddress},
+                     {"routers", std::move(routers)},
+                     {"digests", std::move(digests)}};
     if (!snapshots.empty()) {
         document["snapshots"] = std::move(snapshots);
     }
@@ -40,9 +43,10 @@
     news_message message;
     message.name = document.at("name").get<std::string>();
     message.address = document.at("address").get<std::string>();
+    message.loadAddress = document.at("loadAddress").get<std::string>();
     for (const json &item : document.at("routers")) {
-        const std::chrono::milliseconds age(item.at(2).get<std::int64_t>());
-        message.routers.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), age});
+        const std::chrono::milliseconds age(item.at(3).get<std::int64_t>());
+        message.routers.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<std::string>(), age});
     }
     for (const auto &[kind, digest] : document.at("digests").items()) {
         message.digests.push_back({kind, digest.at(0).get<store_revision>(), digest.at(1).get<std::uint64_t>()});
@@ -60,4 +64,33 @@
     return message;
 }
 
+std::string encodeNotice(const load_notice &notice)
+{
+    json shares = json::array();
+    for (const upstream_share &share : notice.shares) {
+        shares.push_back({share.upstream, share.inFlight, share.pendingTokens});
+    }
+    json prompts = json::array();
+    for (const prompt_notice &prompt : notice.prompts) {
+        prompts.push_back({prompt.upstream, prompt.parts});
+    }
+    std::string bytes;
+    json::to_msgpack(json::array({notice.router, std::move(shares), std::move(prompts)}), bytes);
+    return bytes;
+}
+
+load_notice decodeNotice(const char *data, std::size_t size)
+{
+    const json document = json::from_msgpack(data, data + size);
+    load_notice notice;
+    notice.router = document.at(0).get<std::string>();
+    for (const json &share : document.at(1)) {
+        notice.shares.push_back({share.at(0).get<std::uint64_t>(), share.at(1).get<std::uint32_t>(), share.at(2).get<std::uint32_t>()});
+    }
+    for (const json &prompt : document.at(2)) {
+        notice.prompts.push_back({prompt.at(0).get<std::uint64_t>(), prompt.at(1).get<std::vector<std::uint64_t>>()});
+    }
+    return notice;
+}
+
 } // namespace nutmegtally
--- a/programs/entry/news_codec.h
+++ b/programs/entry/news_codec.h
@@ -1,6 +1,7 @@
 // Messages between routers: JSON bodies of POST calls to routersPath.
 #pragma once
 
+#include <nutmegtally/load_notice.h>
 #include <nutmegtally/object_follower.h>
 #include <nutmegtally/router_news.h>
 
@@ -32,11 +33,18 @@
 struct news_message {
     std::string name;
     std::string address;
+    std::string loadAddress;
     std::vector<router_notice> routers;
     std::vector<kind_digest> digests;
     std::vector<kind_snapshot> snapshots; // of kinds of which the asker has older objects
 };
 
+/// Datagrams with load notices.
+std::string encodeNotice(const load_notice &notice);
+
+/// @throws std::exception with a reason if the bytes are not a notice.
+load_notice decodeNotice(const char *data, std::size_t size);
+
 std::string encodeNews(const news_message &message);
 
 /// @throws std::exception with a reason if the body is not a message.
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -91,6 +91,12 @@
         return m_reducer;
     }
 
+    /// What this router tells the others of its load.
+    load_notice takeNotice()
+    {
+        return m_reducer.takeNotice();
+    }
+
     std::size_t callers() const
     {
         return m_clients.size();
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -196,7 +196,8 @@
     work.sentAt = now;
     work.awaitsFirst = true;
     work.wasOverdue = false;
-    m_upstreams.start(choice.upstream, work.request.promptTokens, work.request.promptTokens + work.request.outputTokens, now);
+    m_upstreams.start(choice.upstream, work.route->carriesPrompt ? work.request.parts : prompt_parts(), work.request.promptTokens,
+                      work.request.promptTokens + work.request.outputTokens, now);
 
     entry_effect::start_attempt attempt;
     attempt.exchange = id;
@@ -209,6 +210,7 @@
     attempt.isResumable = work.route->isResumable;
     attempt.mayRepeat = work.route->mayRepeat();
     attempt.isResume = work.isResume;
+    attempt.fetchFrom = choice.fetchFrom;
     effects.push_back(attempt);
 
     log_line line;
@@ -222,6 +224,7 @@
         .with("load_age_ms", choice.loadAge)
         .with("candidates", choice.candidates)
         .with("cached_tokens", choice.cachedTokens)
+        .with("fetch_tokens", choice.fetchTokens)
         .with("prompt_tokens", work.request.promptTokens)
         .with("waited_ms", now - work.arrivedAt)
         .with("left_ms", attempt.timeLeft);
@@ -359,7 +362,7 @@
     } else {
         work.wasOverdue = false;
         effects.push_back(record(log_event::answerReceived, line));
-        m_upstreams.firstAnswer(work.upstream, work.request.parts, work.request.promptTokens, now);
+        m_upstreams.firstAnswer(work.upstream, work.request.promptTokens);
         work.awaitsFirst = false;
         m_upstreams.judge(work.upstream, upstream_verdict::good, now);
     }
@@ -455,6 +458,11 @@
     placeWaiting(now, effects);
 }
 
+void entry_core::on(time_point now, const entry_event::load_told &input, std::vector<effect> &)
+{
+    m_upstreams.hear(input.notice, now);
+}
+
 void entry_core::on(time_point now, const entry_event::drain_requested &, std::vector<effect> &)
 {
     if (!m_drainingSince) {
--- a/src/prefix_map.cpp
+++ b/src/prefix_map.cpp
@@ -29,13 +29,13 @@
     return now - entry.usedAt < limits::prefixLifetime;
 }
 
-void prefix_map::note(const prompt_parts &parts, std::uint32_t upstream, time_point now)
+void prefix_map::note(const std::vector<std::uint64_t> &parts, std::uint32_t upstream, time_point now)
 {
     if (m_holders.size() + parts.size() > limits::prefixEntries) {
         evict(now);
     }
-    for (const prompt_part &part : parts) {
-        std::vector<holder> &holders = m_holders[part.id];
+    for (const std::uint64_t part : parts) {
+        std::vector<holder> &holders = m_holders[part];
         const auto known = std::find_if(holders.begin(), holders.end(), [upstream](const holder &h) { return h.upstream == upstream; });
         if (known != holders.end()) {
             known->usedAt = now;
--- a/src/router_news.cpp
+++ b/src/router_news.cpp
@@ -28,13 +28,13 @@
     std::vector<router_notice> notices;
     for (const auto &[name, other] : m_routers) {
         if (now - other.heardAt < limits::routerCountedFor) {
-            notices.push_back({name, other.address, now - other.heardAt});
+            notices.push_back({name, other.address, other.loadAddress, now - other.heardAt});
         }
     }
     return notices;
 }
 
-void router_news::note(const std::string &name, const std::string &address, time_point heardAt)
+void router_news::note(const std::string &name, const std::string &address, const std::string &loadAddress, time_point heardAt)
 {
     if (name == m_options.name || name.empty()) {
         return;
@@ -42,6 +42,7 @@
     router &known = m_routers[name];
     if (known.address.empty() || heardAt > known.heardAt) {
         known.address = address;
+        known.loadAddress = loadAddress;
         known.heardAt = heardAt;
         m_targets[address];
     }
@@ -49,13 +50,13 @@
 
 void router_news::on(time_point now, const news_event::heard &input, std::vector<effect> &effects)
 {
-    note(input.name, input.address, now);
+    note(input.name, input.address, input.loadAddress, now);
     target &teller = m_targets[input.address];
     teller.failures = 0;
     teller.notBefore = now;
     for (const router_notice &notice : input.known) {
         if (notice.age < limits::routerCountedFor) {
-            note(notice.name, notice.address, now - notice.age);
+            note(notice.name, notice.address, notice.loadAddress, now - notice.age);
         }
     }
     tellLive(now, effects);
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -60,6 +60,7 @@
         m_instanceOf.erase(known->second.number);
     }
     m_instanceOf[state.number] = record.instance;
+    m_numberOf[hashText(record.instance)] = state.number;
     m_upstreams[record.instance] = std::move(state);
     return true;
 }
@@ -78,6 +79,7 @@
         return;
     }
     m_instanceOf.erase(known->second.number);
+    m_numberOf.erase(hashText(instance));
     m_upstreams.erase(known);
 }
 
@@ -110,14 +112,79 @@
     std::sort(m_routers.begin(), m_routers.end());
 }
 
-double upstream_set::estimatedLoad(const upstream_state &upstream, time_point now)
+double upstream_set::estimatedLoad(const upstream_state &upstream, time_point now) const
 {
-    double others = 0;
+    double told = 0;
+    for (const told_share &share : upstream.told) {
+        told += now - share.toldAt < limits::noticeLifetime ? share.inFlight : 0;
+    }
+    double stated = 0;
     if (upstream.hasReport) {
         const double total = upstream.reported.running + upstream.reported.waiting;
-        others = std::max(0.0, total - upstream.inFlightAtReport) * halved(now - upstream.reportedAt, limits::reportHalfLife);
+        stated = std::max(0.0, total - upstream.inFlightAtReport) * halved(now - upstream.reportedAt, limits::reportHalfLife);
+    }
+    return upstream.inFlight + std::max(told, stated);
+}
+
+std::uint64_t upstream_set::pendingTokens(const upstream_state &upstream, time_point now) const
+{
+    std::uint64_t tokens = upstream.pendingTokens;
+    for (const told_share &share : upstream.told) {
+        tokens += now - share.toldAt < limits::noticeLifetime ? share.pendingTokens : 0;
+    }
+    return tokens;
+}
+
+void upstream_set::hear(const load_notice &notice, time_point now)
+{
+    const auto [teller, isNew] = m_tellers.try_emplace(notice.router, static_cast<std::uint32_t>(m_tellers.size()));
+    const std::uint32_t router = teller->second;
+    for (auto &[instance, state] : m_upstreams) {
+        std::erase_if(state.told, [router, now](const told_share &share) {
+            return share.router == router || now - share.toldAt >= limits::noticeLifetime;
+        });
+    }
+    for (const upstream_share &share : notice.shares) {
+        if (const auto number = m_numberOf.find(share.upstream); number != m_numberOf.end()) {
+            mutableState(number->second)->told.push_back({router, share.inFlight, share.pendingTokens, now});
+        }
+    }
+    for (const prompt_notice &prompt : notice.prompts) {
+        if (const auto number = m_numberOf.find(prompt.upstream); number != m_numberOf.end()) {
+            m_prefixes.note(prompt.parts, number->second, now);
+        }
+    }
+}
+
+load_notice upstream_set::takeNotice()
+{
+    load_notice notice;
+    notice.router = m_self;
+    for (const auto &[instance, state] : m_upstreams) {
+        if (state.inFlight > 0) {
+            notice.shares.push_back({hashText(instance), state.inFlight, static_cast<std::uint32_t>(state.pendingTokens)});
+        }
+    }
+    notice.prompts.swap(m_untold);
+    return notice;
+}
+
+const upstream_state *upstream_set::bestHolder(const prompt_parts &parts, std::uint64_t &tokens, time_point now) const
+{
+    const upstream_state *best = nullptr;
+    tokens = 0;
+    for (const auto &[instance, state] : m_upstreams) {
+        // One that leaves still answers; one that failed lately may not.
+        if (now < state.avoidedUntil || state.missing || state.failuresInRow > 0) {
+            continue;
+        }
+        const std::uint64_t held = m_prefixes.cachedTokens(parts, state.number, now);
+        if (held > tokens) {
+            tokens = held;
+            best = &state;
+        }
     }
-    return upstream.inFlight + others;
+    return best;
 }
 
 bool upstream_set::isOpen(const upstream_state &upstream) const
@@ -150,18 +217,25 @@
     return upstream.coldTokens >= 1.0;
 }
 
-double upstream_set::scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule, bool isHome,
-                                 placement &details, time_point now) const
+double upstream_set::scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule,
+                                 const home_list &ranked, placement &details, time_point now) const
 {
-    const std::uint64_t total = totalTokens(*request.parts);
-    std::uint64_t cached = m_prefixes.cachedTokens(*request.parts, upstream.number, now);
-    if (isHome && !request.parts->empty()) {
-        const std::uint64_t shared = total - request.parts->back().tokens;
-        cached = std::max(cached, static_cast<std::uint64_t>(limits::homeCacheShare * static_cast<double>(shared)));
-    }
+    const prompt_parts &parts = *request.parts;
+    const std::uint64_t total = totalTokens(parts);
+    const std::uint64_t own = parts.empty() ? 0 : parts.back().tokens;
+    const std::uint64_t cached = m_prefixes.cachedTokens(parts, upstream.number, now);
     details.cachedTokens = cached;
     details.load = estimatedLoad(upstream, now);
-    double score = static_cast<double>(total - cached + upstream.pendingTokens) / limits::assumedPrefillTokensPerMs;
+    // What some other engine keeps is fetched from there; the rest of the shared parts is read again.
+    const std::uint64_t shared = total - std::min(total, own);
+    const std::uint64_t fetched = details.fetchTokens > cached ? details.fetchTokens - cached : 0;
+    const std::uint64_t known = std::max(cached, details.fetchTokens);
+    const std::uint64_t read = total - std::min(total, known);
+    double score = static_cast<double>(read + pendingTokens(upstream, now)) / limits::assumedPrefillTokensPerMs;
+    score += static_cast<double>(std::min(fetched, shared)) * limits::fetchCostMsPerToken;
+    if (cached == 0 && details.fetchTokens == 0 && std::find(ranked.begin(), ranked.end(), &upstream) == ranked.end()) {
+        score += limits::awayFromHomeMs; // routers that do not know of each other's choice agree on the homes
+    }
     score += details.load * limits::engineStepMsPerRequest;
     if (rule.cacheTokens > 0 && upstream.inFlight > 0) {
         // Memory of all routers' requests, from this router's own and its part of the load.
@@ -196,8 +270,8 @@
     bool anyTried = false;
     double totalLoad = 0;
     double totalFailures = 0;
-    const upstream_state *home = nullptr;
-    std::uint64_t homeRank = 0;
+    home_list ranked {};
+    std::array<std::uint64_t, homes> ranks {};
     for (auto &[instance, state] : m_upstreams) {
         if (state.record.service != request.service || !isOpen(state)) {
             continue;
@@ -210,10 +284,17 @@
         open.push_back(&state);
         totalLoad += estimatedLoad(state, now);
         totalFailures += state.failureRate;
-        const std::uint64_t rank = isEngine ? rankOf(subject, instance) : 0;
-        if (isEngine && now >= state.avoidedUntil && (home == nullptr || rank > homeRank)) {
-            home = &state;
-            homeRank = rank;
+        if (isEngine && now >= state.avoidedUntil) {
+            const std::uint64_t rank = rankOf(subject, instance);
+            if (ranked[0] == nullptr || rank > ranks[0]) {
+                ranked[1] = ranked[0];
+                ranks[1] = ranks[0];
+                ranked[0] = &state;
+                ranks[0] = rank;
+            } else if (ranked[1] == nullptr || rank > ranks[1]) {
+                ranked[1] = &state;
+                ranks[1] = rank;
+            }
         }
     }
     if (open.empty()) {
@@ -224,6 +305,9 @@
     const double loadBound = limits::loadOverMean * totalLoad / count + limits::loadOverMeanSlack;
     const bool anyUsable = std::any_of(open.begin(), open.end(), [now](const upstream_state *s) { return now >= s->avoidedUntil; });
 
+    std::uint64_t heldTokens = 0;
+    const upstream_state *holder = isEngine ? bestHolder(*request.parts, heldTokens, now) : nullptr;
+
     bool sawCold = false;
     best.outcome = placement_outcome::allFull;
     double bestTie = 0;
@@ -243,7 +327,8 @@
         }
         placement option;
         option.upstream = state->number;
-        double score = isEngine ? scoreEngine(*state, request, *rule, state == home, option, now) : scoreService(*state, now);
+        option.fetchTokens = heldTokens;
+        double score = isEngine ? scoreEngine(*state, request, *rule, ranked, option, now) : scoreService(*state, now);
         score += state->record.domain == m_ownDomain ? 0 : limits::otherDomainMs;
         score += limits::failurePenaltyMs * std::max(0.0, state->failureRate - totalFailures / count);
         option.score = score;
@@ -258,6 +343,10 @@
         }
     }
     best.candidates = static_cast<unsigned>(open.size());
+    const bool fetches
+        = holder != nullptr && holder->number != best.upstream && best.fetchTokens >= best.cachedTokens + limits::leastFetchTokens;
+    best.fetchTokens = fetches ? best.fetchTokens - best.cachedTokens : 0;
+    best.fetchFrom = fetches ? holder->record.address : std::string();
     if (best.upstream != noUpstreamNumber) {
         best.outcome = placement_outcome::chosen;
     } else {
@@ -266,7 +355,8 @@
     return best;
 }
 
-void upstream_set::start(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, time_point now)
+void upstream_set::start(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, std::uint64_t heldTokens,
+                         time_point now)
 {
     upstream_state *state = mutableState(number);
     if (state == nullptr) {
@@ -278,16 +368,28 @@
     if (now < state->coldUntil) {
         state->coldTokens -= 1.0;
     }
+    if (parts.empty()) {
+        return;
+    }
+    // The last part is the request's own: no other request will ask for it.
+    prompt_notice sent;
+    sent.upstream = hashText(state->record.instance);
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        sent.parts.push_back(parts[i].id);
+    }
+    m_prefixes.note(sent.parts, number, now);
+    if (m_untold.size() < limits::untoldPrompts) {
+        m_untold.push_back(std::move(sent));
+    }
 }
 
-void upstream_set::firstAnswer(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, time_point now)
+void upstream_set::firstAnswer(upstream_number number, std::uint64_t promptTokens)
 {
     upstream_state *state = mutableState(number);
     if (state == nullptr) {
         return;
     }
     state->pendingTokens -= std::min(state->pendingTokens, promptTokens);
-    m_prefixes.note(parts, number, now);
 }
 
 void upstream_set::reportLoad(upstream_number number, const upstream_load &load, time_point now)
@@ -308,7 +410,7 @@
     if (state == nullptr) {
         return;
     }
-    state->inFlight -= state->inFlight > 0 ? 1 : 0;
+    state->inFlight -= state->inFlight > 0 ? 1U : 0U;
     state->heldTokens -= std::min(state->heldTokens, heldTokens);
     if (awaitsFirst) {
         state->pendingTokens -= std::min(state->pendingTokens, promptTokens);
