--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -108,6 +108,7 @@
     std::string name; // of this router
     std::string domain;
     retry_terms retries;
+    bool learnsCaches = false; // engines may keep prompts from before this router's start
 };
 
 namespace entry_event
@@ -148,6 +149,17 @@
     load_notice notice;
 };
 
+/// Another router told where prompts are cached.
+struct prompts_told {
+    std::vector<prompt_notice> prompts;
+};
+
+/// An engine listed the parts that it keeps.
+struct held_parts_read {
+    std::string instance;
+    std::vector<std::uint64_t> parts;
+};
+
 /// The answer may be relayed: it is whole, or a stream's head.
 struct answer_received {
     exchange_id exchange = 0;
@@ -205,6 +217,12 @@
     exchange_id exchange = 0;
 };
 
+/// Ask an engine which prompt parts it keeps.
+struct list_held_parts {
+    std::string instance;
+    std::string address;
+};
+
 /// Give a final answer of this router. The exchange is over.
 struct refuse {
     exchange_id exchange = 0;
@@ -234,10 +252,11 @@
 public:
     using event = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
                                entry_event::closures_changed, entry_event::routers_changed, entry_event::request_received,
-                               entry_event::caller_left, entry_event::load_told, entry_event::answer_received, entry_event::attempt_failed,
-                               entry_event::stream_broken, entry_event::answer_finished, entry_event::drain_requested, entry_event::tick>;
-    using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer, entry_effect::refuse,
-                                entry_effect::cut_answer, exchange_report, log_record>;
+                               entry_event::caller_left, entry_event::load_told, entry_event::prompts_told, entry_event::held_parts_read,
+                               entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken,
+                               entry_event::answer_finished, entry_event::drain_requested, entry_event::tick>;
+    using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer,
+                                entry_effect::list_held_parts, entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
 
     explicit entry_core(entry_options options);
 
@@ -316,6 +335,8 @@
     void on(time_point now, const entry_event::request_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::caller_left &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::load_told &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::prompts_told &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::held_parts_read &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::attempt_failed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects);
@@ -323,6 +344,7 @@
     void on(time_point now, const entry_event::drain_requested &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
 
+    void learnCaches(time_point now, std::vector<effect> &effects);
     bool place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeWaiting(time_point now, std::vector<effect> &effects);
@@ -342,6 +364,7 @@
     exchanges m_exchanges;
     std::deque<exchange_id> m_waiting; // in order of arrival; entries whose exchange is over are skipped
     std::optional<time_point> m_drainingSince;
+    std::optional<time_point> m_learnAt; // when engines are asked for what they keep
 };
 
 } // namespace nutmegtally
--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -19,7 +19,8 @@
 
 struct follower_options {
     std::string kind; // for log lines
-    duration wait = std::chrono::seconds(4); // longest time of one wait for changes
+    duration wait = std::chrono::seconds(25); // longest time of one wait for changes
+    duration pause {0}; // after changes before the next wait, so that one call brings several
     /// How long an object stays usable that was missing when the API came back after an outage.
     duration missingGrace = std::chrono::milliseconds(2200);
 };
@@ -107,6 +108,12 @@
         return m_failures == 0;
     }
 
+    /// True if another router knows a newer and different set of objects.
+    bool isBehind(store_revision asOf, std::uint64_t hash) const
+    {
+        return asOf > m_asOf && (m_asOf == 0 || hash != contentHash());
+    }
+
     store_revision asOf() const
     {
         return m_asOf;
@@ -135,8 +142,8 @@
     void on(time_point now, const follower_event::tick &input, std::vector<effect> &effects);
 
     void answered(time_point now, std::vector<effect> &effects);
-    void startList(std::vector<effect> &effects);
-    void startWait(std::vector<effect> &effects);
+    void startList(time_point now, std::vector<effect> &effects);
+    void startWait(time_point now, std::vector<effect> &effects);
     void replaceAll(time_point now, std::vector<stored_object> objects, std::vector<effect> &effects);
     void change(const stored_object &object, std::vector<effect> &effects);
     void remove(time_point now, const std::string &name, std::vector<effect> &effects);
@@ -151,7 +158,8 @@
     unsigned m_failures = 0; // calls that failed in a row
     time_point m_callAt;
     time_point m_failingSince;
-    std::optional<time_point> m_regainedAt; // end of the last outage
+    time_point m_calledAt; // start of the running call
+    std::optional<time_point> m_regainedAt; // start of the first call after an outage that was answered
 };
 
 } // namespace nutmegtally
--- a/include/nutmegtally/prefix_map.h
+++ b/include/nutmegtally/prefix_map.h
@@ -35,6 +35,9 @@
     /// Tokens at the start of a prompt that the upstream probably keeps.
     std::uint64_t cachedTokens(const prompt_parts &parts, std::uint32_t upstream, time_point now) const;
 
+    /// Ids of the parts that each upstream probably keeps.
+    std::unordered_map<std::uint32_t, std::vector<std::uint64_t>> heldParts(time_point now) const;
+
     std::size_t size() const
     {
         return m_holders.size();
--- a/include/nutmegtally/router_news.h
+++ b/include/nutmegtally/router_news.h
@@ -6,6 +6,7 @@
 #include <nutmegtally/reducer.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -38,6 +39,12 @@
     std::vector<router_notice> known;
 };
 
+/// A router's datagram compared with what this router knows.
+struct digest_compared {
+    std::string name;
+    bool isNewer = false; // the other router knows more
+};
+
 struct exchange_failed {
     std::string address;
 };
@@ -65,7 +72,7 @@
 class router_news
 {
 public:
-    using event = std::variant<news_event::heard, news_event::exchange_failed, news_event::tick>;
+    using event = std::variant<news_event::heard, news_event::digest_compared, news_event::exchange_failed, news_event::tick>;
     using effect = std::variant<news_effect::ask, news_effect::routers_changed, log_record>;
 
     explicit router_news(news_options options);
@@ -89,6 +96,7 @@
     };
 
     void on(time_point now, const news_event::heard &input, std::vector<effect> &effects);
+    void on(time_point now, const news_event::digest_compared &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::exchange_failed &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::tick &input, std::vector<effect> &effects);
     void note(const std::string &name, const std::string &address, const std::string &loadAddress, time_point heardAt);
@@ -99,6 +107,7 @@
     std::map<std::string, target> m_targets; // by address
     std::vector<std::string> m_live; // as last told
     time_point m_nextAsk;
+    std::optional<time_point> m_behindSince; // a router tells of newer state since then
     bool m_toldOnce = false;
 };
 
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -169,6 +169,18 @@
     /// @param awaitsFirst True if firstAnswer() was not called for it.
     void finish(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, bool awaitsFirst);
 
+    /// Where prompts are cached, for a router that has just started.
+    std::vector<prompt_notice> knownPrompts(time_point now) const;
+
+    /// Takes over what another router or an engine itself told of cached parts.
+    void learnPrompts(const std::vector<prompt_notice> &prompts, time_point now);
+
+    /// Takes over an engine's own list of cached parts, and tells it on.
+    void learnHeld(const std::string &instance, std::vector<std::uint64_t> parts, time_point now);
+
+    /// Engines whose cached parts this router should list: no router knows anything of them, and it is this one's turn.
+    std::vector<upstream_record> unknownEngines(const traffic_rules &rules, time_point now) const;
+
     void judge(upstream_number number, upstream_verdict verdict, time_point now);
 
     /// @return nullptr if the number is no longer listed.
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -18,11 +18,13 @@
 
 constexpr duration tickInterval = 100ms; // of followers, news and the shutdown
 constexpr duration callMargin = 1s; // for the answer to a wait beyond the time it may wait
+constexpr duration upstreamsPause = 400ms; // upstreams change one by one while they are replaced; each call is priced
 constexpr duration listTimeout = 1500ms; // for one page of a list; a slow store answers in hundreds of milliseconds
 constexpr duration askTimeout = 800ms; // for another router's answer
 constexpr duration loadInterval = 100ms; // between load notices in a small fleet; a request's first event takes about as long
 constexpr duration loadIntervalPerRouter = 10ms; // a router takes a hundred notices a second, whatever their number
 constexpr duration loadPeerAge = 5s; // routers that were not heard of for longer get no notices
+constexpr std::uint64_t leastPartTokens = 1500; // of cached parts that are worth a line in a notice; shorter ones are read soon
 constexpr duration gapWorthTelling = 1s; // between ticks; the process was frozen or starved
 constexpr duration idleBeforeShutdownClose = 1500ms; // of a caller's connection; a busier one is told to close by its next answer
 constexpr duration acceptWhileLeaving = 2800ms; // the balancer stops sending after two missed checks a second apart
@@ -47,6 +49,7 @@
 {
     follower_options options;
     options.kind = std::string(kind);
+    options.pause = kind == platform::kind::upstreams ? upstreamsPause : duration(0);
     return options;
 }
 
@@ -59,7 +62,7 @@
 
 entry_options optionsFrom(const entry_settings &settings)
 {
-    return {settings.name, settings.domain, settings.retries};
+    return {settings.name, settings.domain, settings.retries, !settings.isFirstStart};
 }
 
 json_log_options logOptionsFrom(const entry_settings &settings)
@@ -127,7 +130,7 @@
     , m_calls(context, [this] { return now(); })
     , m_serving(context, platform::request_codec(), optionsFrom(settings),
                 {[this](const log_record &record) { carryOut(record); }, [this](const exchange_report &report) { finished(report); },
-                 [this] { return now(); }})
+                 [this](const entry_effect::list_held_parts &listed) { listHeldParts(listed); }, [this] { return now(); }})
     , m_followers {object_follower(followerFor(followedNames[0])), object_follower(followerFor(followedNames[1])),
                    object_follower(followerFor(followedNames[2]))}
     , m_news(newsOptionsFrom(settings))
@@ -136,6 +139,7 @@
     , m_loadSocket(context)
     , m_loadTimer(context)
     , m_lastTick(time_point(bootTime()))
+    , m_wantsPrompts(!settings.isFirstStart)
 {
     log_line line;
     line.with("domain", settings.domain)
@@ -324,10 +328,57 @@
     message.address = m_settings.routersListen;
     message.loadAddress = m_settings.loadListen;
     message.routers = m_news.known(now());
+    message.digests = ownDigests();
+    return message;
+}
+
+std::vector<kind_digest> entry_daemon::ownDigests() const
+{
+    std::vector<kind_digest> digests;
     for (std::size_t i = 0; i < followedKinds; ++i) {
-        message.digests.push_back({std::string(followedNames[i]), m_followers[i].asOf(), m_followers[i].contentHash()});
+        digests.push_back({std::string(followedNames[i]), m_followers[i].asOf(), m_followers[i].contentHash()});
     }
-    return message;
+    return digests;
+}
+
+void entry_daemon::takeDatagram(const router_datagram &datagram)
+{
+    bool isNewer = false;
+    for (std::size_t i = 0; i < followedKinds; ++i) {
+        for (const kind_digest &digest : datagram.digests) {
+            isNewer = isNewer || (digest.kind == followedNames[i] && m_followers[i].isBehind(digest.asOf, digest.hash));
+        }
+    }
+    apply(news_event::digest_compared {datagram.load.router, isNewer});
+    m_serving.post(entry_event::load_told {datagram.load});
+}
+
+void entry_daemon::listHeldParts(const entry_effect::list_held_parts &listed)
+{
+    call_request request;
+    request.address = listed.address;
+    request.target = std::string(platform::heldPartsTarget);
+    m_calls.call(request, [this, instance = listed.instance](const call_result &result) {
+        if (result.status != 200) {
+            log_line line;
+            line.with("upstream", instance).with("status", result.status).with("why", result.failure);
+            carryOut(log_record {log_event::heldPartsUnread, line.take()});
+            return;
+        }
+        try {
+            std::vector<std::uint64_t> parts;
+            for (const platform::held_part &part : platform::decodeHeldParts(result.body)) {
+                if (part.tokens >= leastPartTokens) {
+                    parts.push_back(part.id);
+                }
+            }
+            m_serving.post(entry_event::held_parts_read {instance, std::move(parts)});
+        } catch (const std::exception &fault) {
+            log_line line;
+            line.with("upstream", instance).with("status", result.status).with("why", fault.what());
+            carryOut(log_record {log_event::heldPartsUnread, line.take()});
+        }
+    });
 }
 
 void entry_daemon::carryOut(const news_effect::ask &question)
@@ -336,7 +387,9 @@
     request.address = question.address;
     request.method = "POST";
     request.target = std::string(routersPath);
-    request.body = encodeNews(ownNews());
+    news_message news = ownNews();
+    news.wantsPrompts = m_wantsPrompts;
+    request.body = encodeNews(news);
     request.timeout = askTimeout;
     m_calls.call(request, [this, address = question.address](const call_result &result) {
         if (result.status != 200) {
@@ -354,6 +407,9 @@
 void entry_daemon::takeNews(const news_message &message)
 {
     apply(news_event::heard {message.name, message.address, message.loadAddress, message.routers});
+    if (!message.prompts.empty()) {
+        m_wantsPrompts = false;
+    }
     for (const kind_snapshot &snapshot : message.snapshots) {
         for (std::size_t i = 0; i < followedKinds; ++i) {
             if (followedNames[i] == snapshot.kind) {
@@ -361,12 +417,14 @@
             }
         }
     }
+    // After the snapshots: prompts at upstreams that are not listed yet would be lost.
+    m_serving.post(entry_event::prompts_told {message.prompts});
 }
 
 void entry_daemon::tellLoad()
 {
     const std::vector<router_notice> routers = m_news.known(now());
-    const std::string bytes = encodeNotice(m_serving.takeNotice());
+    const std::string bytes = encodeDatagram({m_serving.takeNotice(), ownDigests()});
     for (const router_notice &router : routers) {
         const auto peer = parseEndpoint(router.loadAddress);
         if (peer && router.age < loadPeerAge) {
@@ -391,7 +449,7 @@
                                         }
                                         if (!fault) {
                                             try {
-                                                m_serving.post(entry_event::load_told {decodeNotice(m_datagram.data(), bytes)});
+                                                takeDatagram(decodeDatagram(m_datagram.data(), bytes));
                                             } catch (const std::exception &problem) {
                                                 log_line line;
                                                 line.with("from", m_loadSender.address().to_string()).with("why", problem.what());
@@ -429,6 +487,9 @@
             }
         }
     }
+    if (question.wantsPrompts) {
+        answer.prompts = m_serving.decisions().upstreams().knownPrompts(now());
+    }
     return {200, {{"Content-Type", "application/json"}}, encodeNews(answer)};
 }
 
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -68,9 +68,12 @@
     void carryOut(const news_effect::routers_changed &changed);
     void carryOut(const log_record &record);
     news_message ownNews() const;
+    std::vector<kind_digest> ownDigests() const;
+    void takeDatagram(const router_datagram &datagram);
     void takeNews(const news_message &message);
     own_answer answerRouter(const http_head &head, const std::string &body);
 
+    void listHeldParts(const entry_effect::list_held_parts &listed);
     void tellLoad();
     void hearLoad();
 
@@ -105,6 +108,7 @@
     std::unique_ptr<call_server> m_metricsServer;
     std::optional<time_point> m_shutdownSince;
     time_point m_lastTick;
+    bool m_wantsPrompts; // no router has told where prompts are cached
     bool m_wasReady = false;
     bool m_stopped = false;
     bool m_cutWork = false;
--- a/programs/entry/entry_settings.cpp
+++ b/programs/entry/entry_settings.cpp
@@ -44,6 +44,7 @@
     settings.metricsListen = document.value("metricsListen", settings.metricsListen);
     settings.seeds = document.value("seeds", settings.seeds);
     settings.objects = document.at("objects").get<std::string>();
+    settings.isFirstStart = document.value("firstStart", settings.isFirstStart);
     if (const auto retries = document.find("retries"); retries != document.end()) {
         settings.retries.ratio = retries->value("ratio", settings.retries.ratio);
         settings.retries.slack = retries->value("slack", settings.retries.slack);
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -23,6 +23,7 @@
     std::string metricsListen; // empty for none
     std::vector<std::string> seeds;
     std::string objects;
+    bool isFirstStart = false; // of the whole system
     retry_terms retries;
     duration shutdownLimit = std::chrono::seconds(8);
     std::size_t maxDescriptors = 1024;
--- a/programs/entry/news_codec.cpp
+++ b/programs/entry/news_codec.cpp
@@ -7,6 +7,29 @@
 
 using nlohmann::json;
 
+namespace
+{
+
+json promptsJson(const std::vector<prompt_notice> &prompts)
+{
+    json list = json::array();
+    for (const prompt_notice &prompt : prompts) {
+        list.push_back({prompt.upstream, prompt.parts});
+    }
+    return list;
+}
+
+std::vector<prompt_notice> promptsFrom(const json &list)
+{
+    std::vector<prompt_notice> prompts;
+    for (const json &prompt : list) {
+        prompts.push_back({prompt.at(0).get<std::uint64_t>(), prompt.at(1).get<std::vector<std::uint64_t>>()});
+    }
+    return prompts;
+}
+
+} // namespace
+
 std::string encodeNews(const news_message &message)
 {
     json routers = json::array();
@@ -34,6 +57,12 @@
     if (!snapshots.empty()) {
         document["snapshots"] = std::move(snapshots);
     }
+    if (message.wantsPrompts) {
+        document["wantsPrompts"] = true;
+    }
+    if (!message.prompts.empty()) {
+        document["prompts"] = promptsJson(message.prompts);
+    }
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -61,36 +90,43 @@
             message.snapshots.push_back(std::move(snapshot));
         }
     }
+    message.wantsPrompts = document.value("wantsPrompts", false);
+    if (const auto prompts = document.find("prompts"); prompts != document.end()) {
+        message.prompts = promptsFrom(*prompts);
+    }
     return message;
 }
 
-std::string encodeNotice(const load_notice &notice)
+std::string encodeDatagram(const router_datagram &datagram)
 {
     json shares = json::array();
-    for (const upstream_share &share : notice.shares) {
+    for (const upstream_share &share : datagram.load.shares) {
         shares.push_back({share.upstream, share.inFlight, share.pendingTokens});
     }
-    json prompts = json::array();
-    for (const prompt_notice &prompt : notice.prompts) {
-        prompts.push_back({prompt.upstream, prompt.parts});
+    json digests = json::array();
+    for (const kind_digest &digest : datagram.digests) {
+        digests.push_back({digest.kind, digest.asOf, digest.hash});
     }
     std::string bytes;
-    json::to_msgpack(json::array({notice.router, std::move(shares), std::move(prompts)}), bytes);
+    json::to_msgpack(json::array({datagram.load.router, std::move(shares), promptsJson(datagram.load.prompts), std::move(digests)}), bytes);
     return bytes;
 }
 
-load_notice decodeNotice(const char *data, std::size_t size)
+router_datagram decodeDatagram(const char *data, std::size_t size)
 {
     const json document = json::from_msgpack(data, data + size);
-    load_notice notice;
-    notice.router = document.at(0).get<std::string>();
+    router_datagram datagram;
+    datagram.load.router = document.at(0).get<std::string>();
     for (const json &share : document.at(1)) {
-        notice.shares.push_back({share.at(0).get<std::uint64_t>(), share.at(1).get<std::uint32_t>(), share.at(2).get<std::uint32_t>()});
+        datagram.load.shares.push_back(
+            {share.at(0).get<std::uint64_t>(), share.at(1).get<std::uint32_t>(), share.at(2).get<std::uint32_t>()});
     }
-    for (const json &prompt : document.at(2)) {
-        notice.prompts.push_back({prompt.at(0).get<std::uint64_t>(), prompt.at(1).get<std::vector<std::uint64_t>>()});
+    datagram.load.prompts = promptsFrom(document.at(2));
+    for (const json &digest : document.at(3)) {
+        datagram.digests.push_back(
+            {digest.at(0).get<std::string>(), digest.at(1).get<store_revision>(), digest.at(2).get<std::uint64_t>()});
     }
-    return notice;
+    return datagram;
 }
 
 } // namespace nutmegtally
--- a/programs/entry/news_codec.h
+++ b/programs/entry/news_codec.h
@@ -29,6 +29,17 @@
     std::vector<stored_object> objects;
 };
 
+/// What routers send each other several times a second.
+struct router_datagram {
+    load_notice load;
+    std::vector<kind_digest> digests; // a router whose own are older for long does not hear the platform
+};
+
+std::string encodeDatagram(const router_datagram &datagram);
+
+/// @throws std::exception with a reason if the bytes are not a datagram of a router.
+router_datagram decodeDatagram(const char *data, std::size_t size);
+
 /// Question and answer have the same form; only an answer has snapshots.
 struct news_message {
     std::string name;
@@ -37,14 +48,10 @@
     std::vector<router_notice> routers;
     std::vector<kind_digest> digests;
     std::vector<kind_snapshot> snapshots; // of kinds of which the asker has older objects
+    bool wantsPrompts = false; // questions of a router that has just started
+    std::vector<prompt_notice> prompts; // where prompts are cached, if the asker wants to know
 };
 
-/// Datagrams with load notices.
-std::string encodeNotice(const load_notice &notice);
-
-/// @throws std::exception with a reason if the bytes are not a notice.
-load_notice decodeNotice(const char *data, std::size_t size);
-
 std::string encodeNews(const news_message &message);
 
 /// @throws std::exception with a reason if the body is not a message.
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -67,6 +67,7 @@
 struct serving_observer {
     std::function<void(const log_record &)> log;
     std::function<void(const exchange_report &)> finished;
+    std::function<void(const entry_effect::list_held_parts &)> listHeldParts;
     std::function<time_point()> now;
 };
 
@@ -139,6 +140,7 @@
     void carryOut(const entry_effect::start_attempt &attempt);
     void carryOut(const entry_effect::stop_attempt &stopped);
     void carryOut(const entry_effect::relay_answer &relayed);
+    void carryOut(const entry_effect::list_held_parts &listed);
     void carryOut(const entry_effect::refuse &refused);
     void carryOut(const entry_effect::cut_answer &answer);
     void carryOut(const exchange_report &report);
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -373,6 +373,12 @@
     client->abort();
 }
 
+template<request_codec Codec>
+void serving_core<Codec>::carryOut(const entry_effect::list_held_parts &listed)
+{
+    m_observer.listHeldParts(listed);
+}
+
 template<request_codec Codec>
 void serving_core<Codec>::carryOut(const exchange_report &report)
 {
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -463,6 +463,35 @@
     m_upstreams.hear(input.notice, now);
 }
 
+void entry_core::on(time_point now, const entry_event::prompts_told &input, std::vector<effect> &)
+{
+    m_upstreams.learnPrompts(input.prompts, now);
+}
+
+void entry_core::on(time_point now, const entry_event::held_parts_read &input, std::vector<effect> &effects)
+{
+    log_line line;
+    line.with("upstream", input.instance).with("parts", input.parts.size());
+    effects.push_back(record(log_event::heldPartsRead, line));
+    m_upstreams.learnHeld(input.instance, input.parts, now);
+}
+
+void entry_core::learnCaches(time_point now, std::vector<effect> &effects)
+{
+    if (!m_options.learnsCaches || !m_rules || m_upstreams.size() == 0) {
+        return;
+    }
+    // Other routers that live answer within this time and know more than the engines' lists.
+    m_learnAt = m_learnAt.value_or(now + limits::learnDelay);
+    if (now < *m_learnAt) {
+        return;
+    }
+    m_options.learnsCaches = false;
+    for (const upstream_record &engine : m_upstreams.unknownEngines(*m_rules, now)) {
+        effects.push_back(entry_effect::list_held_parts {engine.instance, engine.address});
+    }
+}
+
 void entry_core::on(time_point now, const entry_event::drain_requested &, std::vector<effect> &)
 {
     if (!m_drainingSince) {
@@ -477,6 +506,7 @@
         line.with("upstream", instance).with("grace_ms", 0);
         effects.push_back(record(log_event::upstreamUnlisted, line));
     }
+    learnCaches(now, effects);
     placeWaiting(now, effects);
     std::vector<exchange_id> ids;
     ids.reserve(m_exchanges.size());
--- a/src/limits.h
+++ b/src/limits.h
@@ -104,6 +104,7 @@
 inline constexpr std::uint64_t leastFetchTokens = 256; // fewer are read sooner than fetched
 inline constexpr double awayFromHomeMs = 20; // for an engine that is none of an unknown subject's homes
 inline constexpr duration noticeLifetime = 1500ms; // of what another router told of its load; a few notices may be lost
+inline constexpr duration learnDelay = 500ms; // after the first list of upstreams, for other routers to tell what they know
 inline constexpr std::size_t untoldPrompts = 64; // in one notice, so that it fits a datagram
 inline constexpr double otherDomainMs = 2.0; // round trip between failure domains of one region
 inline constexpr double loadOverMean = 1.5; // an engine takes part in a choice below this multiple of the mean load
@@ -131,11 +132,13 @@
 // Following the platform's objects, and news between routers.
 inline constexpr duration firstCallPause = 60ms; // after a failed call to the object API; doubles
 inline constexpr duration longestCallPause = 1s; // each call is priced, also a refused one
+inline constexpr duration waitAfterFailure = 300ms; // for changes, until the object API has answered again
 inline constexpr duration outageAfter = 700ms; // of failed calls; a cut connection alone is mended sooner
 inline constexpr duration askInterval = 1s; // between exchanges with other routers
 inline constexpr duration askIntervalAlone = 300ms; // while the object API does not answer
 inline constexpr duration firstAskPause = 1s; // for a router that did not answer; doubles
 inline constexpr duration longestAskPause = 8s;
+inline constexpr duration behindBeforeAsking = 1s; // routers take a change within half a second of each other
 inline constexpr duration routerCountedFor = 15s; // since a router was last heard of; shared limits stay divided that long
 
 } // namespace nutmegtally::limits
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -28,17 +28,20 @@
     return hash;
 }
 
-void object_follower::startList(std::vector<effect> &effects)
+void object_follower::startList(time_point now, std::vector<effect> &effects)
 {
+    m_calledAt = now;
     m_phase = phase::listing;
     m_listed.clear();
     effects.emplace_back(follower_effect::read_page {});
 }
 
-void object_follower::startWait(std::vector<effect> &effects)
+void object_follower::startWait(time_point now, std::vector<effect> &effects)
 {
+    m_calledAt = now;
     m_phase = phase::waiting;
-    effects.emplace_back(follower_effect::wait_for_changes {m_asOf, m_options.wait});
+    // A short wait after failures: its answer tells that the API is back.
+    effects.emplace_back(follower_effect::wait_for_changes {m_asOf, m_failures > 0 ? limits::waitAfterFailure : m_options.wait});
 }
 
 void object_follower::answered(time_point now, std::vector<effect> &effects)
@@ -47,7 +50,7 @@
         return;
     }
     if (now - m_failingSince >= limits::outageAfter) {
-        m_regainedAt = now;
+        m_regainedAt = m_calledAt;
     }
     log_line line;
     line.with("kind", m_options.kind).with("failures", m_failures).with("away_ms", now - m_failingSince);
@@ -77,7 +80,7 @@
     }
     m_listed.clear();
     m_isComplete = true;
-    startWait(effects);
+    startWait(now, effects);
 }
 
 void object_follower::on(time_point now, const follower_event::changes_read &input, std::vector<effect> &effects)
@@ -97,14 +100,19 @@
         }
     }
     m_asOf = std::max(m_asOf, input.asOf);
-    startWait(effects);
+    if (input.objects.empty() || m_options.pause.count() == 0) {
+        startWait(now, effects);
+        return;
+    }
+    m_phase = phase::idle;
+    m_callAt = now + m_options.pause;
 }
 
 void object_follower::on(time_point now, const follower_event::history_lost &, std::vector<effect> &effects)
 {
     answered(now, effects);
     m_mustList = true;
-    startList(effects);
+    startList(now, effects);
 }
 
 void object_follower::on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects)
@@ -148,9 +156,9 @@
         return;
     }
     if (m_mustList) {
-        startList(effects);
+        startList(now, effects);
     } else {
-        startWait(effects);
+        startWait(now, effects);
     }
 }
 
--- a/src/prefix_map.cpp
+++ b/src/prefix_map.cpp
@@ -48,20 +48,33 @@
 
 std::uint64_t prefix_map::cachedTokens(const prompt_parts &parts, std::uint32_t upstream, time_point now) const
 {
-    std::uint64_t tokens = 0;
+    // An engine that keeps a part has read all parts before it.
+    std::uint64_t before = 0;
+    std::uint64_t cached = 0;
     for (const prompt_part &part : parts) {
+        before += part.tokens;
         const auto found = m_holders.find(part.id);
         if (found == m_holders.end()) {
-            break;
+            continue;
         }
         const bool held = std::any_of(found->second.begin(), found->second.end(),
                                       [upstream, now](const holder &h) { return h.upstream == upstream && isFresh(h, now); });
-        if (!held) {
-            break;
+        cached = held ? before : cached;
+    }
+    return cached;
+}
+
+std::unordered_map<std::uint32_t, std::vector<std::uint64_t>> prefix_map::heldParts(time_point now) const
+{
+    std::unordered_map<std::uint32_t, std::vector<std::uint64_t>> parts;
+    for (const auto &[id, holders] : m_holders) {
+        for (const holder &each : holders) {
+            if (isFresh(each, now)) {
+                parts[each.upstream].push_back(id);
+            }
         }
-        tokens += part.tokens;
     }
-    return tokens;
+    return parts;
 }
 
 void prefix_map::evict(time_point now)
--- a/src/router_news.cpp
+++ b/src/router_news.cpp
@@ -62,6 +62,26 @@
     tellLive(now, effects);
 }
 
+void router_news::on(time_point now, const news_event::digest_compared &input, std::vector<effect> &effects)
+{
+    const auto teller = m_routers.find(input.name);
+    if (teller == m_routers.end()) {
+        return;
+    }
+    teller->second.heardAt = std::max(teller->second.heardAt, now);
+    if (!input.isNewer) {
+        // Routers take changes one after the other: only state that stays newer means that this router misses something.
+        m_behindSince.reset();
+        return;
+    }
+    m_behindSince = m_behindSince.value_or(now);
+    if (now - *m_behindSince >= limits::behindBeforeAsking) {
+        m_behindSince = now;
+        m_targets[teller->second.address].askedAt = now;
+        effects.emplace_back(news_effect::ask {teller->second.address});
+    }
+}
+
 void router_news::on(time_point now, const news_event::exchange_failed &input, std::vector<effect> &effects)
 {
     target &asked = m_targets[input.address];
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -149,13 +149,56 @@
             mutableState(number->second)->told.push_back({router, share.inFlight, share.pendingTokens, now});
         }
     }
-    for (const prompt_notice &prompt : notice.prompts) {
+    learnPrompts(notice.prompts, now);
+}
+
+void upstream_set::learnPrompts(const std::vector<prompt_notice> &prompts, time_point now)
+{
+    for (const prompt_notice &prompt : prompts) {
         if (const auto number = m_numberOf.find(prompt.upstream); number != m_numberOf.end()) {
             m_prefixes.note(prompt.parts, number->second, now);
         }
     }
 }
 
+void upstream_set::learnHeld(const std::string &instance, std::vector<std::uint64_t> parts, time_point now)
+{
+    const std::vector<prompt_notice> held {{hashText(instance), std::move(parts)}};
+    learnPrompts(held, now);
+    m_untold.insert(m_untold.end(), held.begin(), held.end());
+}
+
+std::vector<prompt_notice> upstream_set::knownPrompts(time_point now) const
+{
+    std::vector<prompt_notice> prompts;
+    for (const auto &[number, parts] : m_prefixes.heldParts(now)) {
+        if (const auto instance = m_instanceOf.find(number); instance != m_instanceOf.end()) {
+            prompts.push_back({hashText(instance->second), parts});
+        }
+    }
+    return prompts;
+}
+
+std::vector<upstream_record> upstream_set::unknownEngines(const traffic_rules &rules, time_point now) const
+{
+    const auto known = m_prefixes.heldParts(now);
+    std::vector<upstream_record> engines;
+    for (const auto &[instance, state] : m_upstreams) {
+        const service_rule *rule = rules.service(state.record.service);
+        if (rule == nullptr || rule->engineSlots == 0 || known.contains(state.number) || !isOpen(state)) {
+            continue;
+        }
+        const auto first
+            = std::min_element(m_routers.begin(), m_routers.end(), [&name = instance](const std::string &a, const std::string &b) {
+                  return mixHash(hashText(a), hashText(name)) < mixHash(hashText(b), hashText(name));
+              });
+        if (first == m_routers.end() || *first == m_self) {
+            engines.push_back(state.record);
+        }
+    }
+    return engines;
+}
+
 load_notice upstream_set::takeNotice()
 {
     load_notice notice;
