--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -290,6 +290,12 @@
         return m_upstreams.takeNotice();
     }
 
+    /// True if what this router knows of cached prompts is more than its own requests since a start.
+    bool knowsCaches() const
+    {
+        return !m_options.learnsCaches;
+    }
+
     const upstream_set &upstreams() const
     {
         return m_upstreams;
--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -144,7 +144,7 @@
     void answered(time_point now, std::vector<effect> &effects);
     void startList(time_point now, std::vector<effect> &effects);
     void startWait(time_point now, std::vector<effect> &effects);
-    void replaceAll(time_point now, std::vector<stored_object> objects, std::vector<effect> &effects);
+    void replaceAll(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects);
     void change(const stored_object &object, std::vector<effect> &effects);
     void remove(time_point now, const std::string &name, std::vector<effect> &effects);
 
--- a/include/nutmegtally/router_news.h
+++ b/include/nutmegtally/router_news.h
@@ -49,6 +49,11 @@
 struct exchange_done {
 };
 
+/// The settings were read again.
+struct seeds_changed {
+    std::vector<std::string> seeds;
+};
+
 struct exchange_failed {
     std::string address;
 };
@@ -76,8 +81,8 @@
 class router_news
 {
 public:
-    using event = std::variant<news_event::heard, news_event::digest_compared, news_event::exchange_done, news_event::exchange_failed,
-                               news_event::tick>;
+    using event = std::variant<news_event::heard, news_event::digest_compared, news_event::exchange_done, news_event::seeds_changed,
+                               news_event::exchange_failed, news_event::tick>;
     using effect = std::variant<news_effect::ask, news_effect::routers_changed, log_record>;
 
     explicit router_news(news_options options);
@@ -103,9 +108,11 @@
     void on(time_point now, const news_event::heard &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::digest_compared &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::exchange_done &input, std::vector<effect> &effects);
+    void on(time_point now, const news_event::seeds_changed &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::exchange_failed &input, std::vector<effect> &effects);
     void on(time_point now, const news_event::tick &input, std::vector<effect> &effects);
     void note(const std::string &name, const std::string &address, const std::string &loadAddress, time_point heardAt);
+    void addSeeds(const std::vector<std::string> &seeds);
     void ask(time_point now, const std::string &address, std::vector<effect> &effects);
     void tellLive(time_point now, std::vector<effect> &effects);
 
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -178,8 +178,8 @@
     /// Takes over an engine's own list of cached parts, and tells it on.
     void learnHeld(const std::string &instance, std::vector<std::uint64_t> parts, time_point now);
 
-    /// Engines whose cached parts this router should list: no router knows anything of them, and it is this one's turn.
-    std::vector<upstream_record> unknownEngines(const traffic_rules &rules, time_point now) const;
+    /// Engines whose cached parts this router should list: no router told of them, and it is this one's turn.
+    std::vector<upstream_record> unknownEngines(const traffic_rules &rules) const;
 
     void judge(upstream_number number, upstream_verdict verdict, time_point now);
 
@@ -207,6 +207,7 @@
     static constexpr std::size_t homes = 2;
     using home_list = std::array<const upstream_state *, homes>;
 
+    void notePrompts(const std::vector<prompt_notice> &prompts, time_point now);
     bool isOpen(const upstream_state &upstream) const;
     bool mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const;
     double scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule, const home_list &ranked,
@@ -227,6 +228,7 @@
     std::unordered_map<std::string, std::uint32_t> m_tellers; // index of each router that ever told its load
     std::unordered_map<std::uint32_t, time_point> m_toldAt; // last notice of each teller
     std::vector<prompt_notice> m_untold; // prompts sent since the last notice
+    std::unordered_set<upstream_number> m_learnt; // engines of which another router or they themselves told all they keep
     upstream_number m_lastNumber = noUpstreamNumber;
 };
 
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -489,7 +489,8 @@
             }
         }
     }
-    if (question.wantsPrompts) {
+    // A router that has just started as well would tell of its last second only.
+    if (question.wantsPrompts && m_serving.decisions().knowsCaches()) {
         answer.prompts = m_serving.decisions().upstreams().knownPrompts(now());
     }
     return {200, {{"Content-Type", "application/octet-stream"}}, pack(encodeNews(answer))};
@@ -579,6 +580,7 @@
                 const entry_settings fresh = m_reload();
                 line.with("log_level", static_cast<int>(fresh.logLevel)).with("seeds", fresh.seeds.size());
                 carryOut(log_record {log_event::settingsReloaded, line.take()});
+                apply(news_event::seeds_changed {fresh.seeds});
             } catch (const std::exception &problem) {
                 line.with("why", problem.what());
                 carryOut(log_record {log_event::settingsRejected, line.take()});
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -493,7 +493,7 @@
         return;
     }
     m_options.learnsCaches = false;
-    for (const upstream_record &engine : m_upstreams.unknownEngines(*m_rules, now)) {
+    for (const upstream_record &engine : m_upstreams.unknownEngines(*m_rules)) {
         effects.push_back(entry_effect::list_held_parts {engine.instance, engine.address});
     }
 }
--- a/src/limits.h
+++ b/src/limits.h
@@ -111,6 +111,7 @@
 inline constexpr double loadOverMeanSlack = 2.0; // requests; a ratio says nothing about a nearly idle fleet
 inline constexpr double engineFillLimit = 0.9; // of an engine's token memory, beyond which runs are preempted
 inline constexpr double serviceQueueShare = 1.0; // requests beyond its slots that a plain upstream gets, per slot
+inline constexpr double connectionShare = 0.8; // of an upstream's connections that routers use for requests in flight
 inline constexpr double failurePenaltyMs = 400; // for an upstream that fails all its requests
 inline constexpr double failureWeight = 0.15; // of the newest answer in the moving average of failures
 inline constexpr duration firstAvoidance = 300ms; // after a failed connection; doubles with each further one
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -5,6 +5,7 @@
 #include <nutmegtally/object_follower.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace nutmegtally
 {
@@ -76,7 +77,7 @@
     if (input.asOf >= m_asOf) {
         // Later pages may hold newer objects than the first; the wait that follows repeats what changed meanwhile.
         m_asOf = input.asOf;
-        replaceAll(now, std::move(m_listed), effects);
+        replaceAll(now, m_listed, effects);
     }
     m_listed.clear();
     m_isComplete = true;
@@ -162,12 +163,15 @@
     }
 }
 
-void object_follower::replaceAll(time_point now, std::vector<stored_object> objects, std::vector<effect> &effects)
+void object_follower::replaceAll(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects)
 {
+    std::unordered_set<std::string> listed;
+    for (const stored_object &object : objects) {
+        listed.insert(object.name);
+    }
     std::vector<std::string> missing;
     for (const auto &[name, object] : m_objects) {
-        const bool listed = std::any_of(objects.begin(), objects.end(), [&name](const stored_object &each) { return each.name == name; });
-        if (!listed) {
+        if (!listed.contains(name)) {
             missing.push_back(name);
         }
     }
--- a/src/router_news.cpp
+++ b/src/router_news.cpp
@@ -11,13 +11,23 @@
 router_news::router_news(news_options options)
     : m_options(std::move(options))
 {
-    for (const std::string &seed : m_options.seeds) {
+    addSeeds(m_options.seeds);
+}
+
+void router_news::addSeeds(const std::vector<std::string> &seeds)
+{
+    for (const std::string &seed : seeds) {
         if (seed != m_options.address) {
             m_targets[seed];
         }
     }
 }
 
+void router_news::on(time_point, const news_event::seeds_changed &input, std::vector<effect> &)
+{
+    addSeeds(input.seeds);
+}
+
 void router_news::apply(time_point now, const event &input, std::vector<effect> &effects)
 {
     std::visit([&](const auto &each) { on(now, each, effects); }, input);
@@ -129,8 +139,7 @@
         }
     }
     if (next != m_targets.end()) {
-        next->second.askedAt = now;
-        effects.push_back(news_effect::ask {next->first});
+        ask(now, next->first, effects);
     }
 }
 
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace nutmegtally
 {
@@ -149,10 +150,10 @@
             mutableState(number->second)->told.push_back({router, share.inFlight, share.pendingTokens, now});
         }
     }
-    learnPrompts(notice.prompts, now);
+    notePrompts(notice.prompts, now);
 }
 
-void upstream_set::learnPrompts(const std::vector<prompt_notice> &prompts, time_point now)
+void upstream_set::notePrompts(const std::vector<prompt_notice> &prompts, time_point now)
 {
     for (const prompt_notice &prompt : prompts) {
         if (const auto number = m_numberOf.find(prompt.upstream); number != m_numberOf.end()) {
@@ -161,6 +162,16 @@
     }
 }
 
+void upstream_set::learnPrompts(const std::vector<prompt_notice> &prompts, time_point now)
+{
+    notePrompts(prompts, now);
+    for (const prompt_notice &prompt : prompts) {
+        if (const auto number = m_numberOf.find(prompt.upstream); number != m_numberOf.end()) {
+            m_learnt.insert(number->second);
+        }
+    }
+}
+
 void upstream_set::learnHeld(const std::string &instance, std::vector<std::uint64_t> parts, time_point now)
 {
     const std::vector<prompt_notice> held {{hashText(instance), std::move(parts)}};
@@ -179,13 +190,12 @@
     return prompts;
 }
 
-std::vector<upstream_record> upstream_set::unknownEngines(const traffic_rules &rules, time_point now) const
+std::vector<upstream_record> upstream_set::unknownEngines(const traffic_rules &rules) const
 {
-    const auto known = m_prefixes.heldParts(now);
     std::vector<upstream_record> engines;
     for (const auto &[instance, state] : m_upstreams) {
         const service_rule *rule = rules.service(state.record.service);
-        if (rule == nullptr || rule->engineSlots == 0 || known.contains(state.number) || !isOpen(state)) {
+        if (rule == nullptr || rule->engineSlots == 0 || m_learnt.contains(state.number) || !isOpen(state)) {
             continue;
         }
         const auto first
@@ -351,6 +361,11 @@
     std::uint64_t heldTokens = 0;
     const upstream_state *holder = isEngine ? bestHolder(*request.parts, heldTokens, now) : nullptr;
 
+    // Each request in flight has a connection of its own; other routers and idle connections take the rest.
+    const double connections = rule->maxConnections > 0
+                                   ? std::max(1.0, limits::connectionShare * rule->maxConnections / static_cast<double>(routers()))
+                                   : std::numeric_limits<double>::infinity();
+
     bool sawCold = false;
     best.outcome = placement_outcome::allFull;
     double bestTie = 0;
@@ -361,7 +376,7 @@
         const double load = estimatedLoad(*state, now);
         const double slots = std::max(1U, state->record.slots);
         const double most = isEngine ? std::min(slots, loadBound) : slots * (1.0 + limits::serviceQueueShare);
-        if (load + 1 > most) {
+        if (load + 1 > most || state->inFlight + 1 > connections) {
             continue;
         }
         if (!mayStartCold(*state, *rule, now)) {
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -12,10 +12,24 @@
 from platform_standin import Proxy, Store, Upstream, configuration, entry
 
 
+PORTS = range(12000, 30000)  # below what the kernel gives to connections, which could take a port before its router binds it
+given_ports = set()
+port_choice = random.SystemRandom()
+
+
 def free_port(kind=socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that nobody has bound and that no earlier call gave."""
+    while True:
+        port = port_choice.choice(PORTS)
+        if port in given_ports:
+            continue
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
 
 
 class Router:
@@ -107,7 +121,9 @@
     def wait_ready(self, seconds: float = 10) -> None:
         end = time.monotonic() + seconds
         while not all(r.is_ready() for r in self.routers):
-            assert time.monotonic() < end, "routers are not ready"
+            if time.monotonic() >= end:
+                logs = "\n".join(f"{r.name} ({r.handle.poll()}): " + "\n".join(r.log.read_text(errors="replace").splitlines()[-8:]) for r in self.routers)
+                raise AssertionError(f"routers are not ready\n{logs}")
             time.sleep(0.05)
 
     def close(self) -> None:
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -330,6 +330,19 @@
     BOOST_TEST(repeats <= 0.2 * 20 + 5);
 }
 
+BOOST_AUTO_TEST_CASE(connections_boundOfAnUpstream_isSharedByTheRouters)
+{
+    rules->services[1].maxConnections = 20;
+    start(0, 1);
+    apply(entry_event::routers_changed {{"a", "b", "c", "self"}});
+    unsigned sent = 0;
+    for (int i = 0; i < 10; ++i) {
+        request("booking");
+        sent += sentTo() == "nobody" ? 0 : 1;
+    }
+    BOOST_TEST(sent == 4U); // a quarter of four fifths of 20
+}
+
 BOOST_AUTO_TEST_CASE(learnCaches_firstStartOfTheSystem_asksNobody)
 {
     start(3, 0);
@@ -344,7 +357,7 @@
     apply(entry_event::prompts_told {{{hashText("engine-0"), {7}}}});
     tickAt(10ms);
     BOOST_TEST(effect<entry_effect::list_held_parts>() == nullptr);
-    tickAt(700ms);
+    tickAt(900ms);
     unsigned asked = 0;
     for (const entry_core::effect &each : effects) {
         if (const auto *listed = std::get_if<entry_effect::list_held_parts>(&each)) {
@@ -353,8 +366,22 @@
         }
     }
     BOOST_TEST(asked == 2);
-    tickAt(1400ms);
+    tickAt(1800ms);
     BOOST_TEST(effect<entry_effect::list_held_parts>() == nullptr);
 }
 
+// Found on plpic-tally-grown after a power loss of all routers: the first requests made every engine count as known.
+BOOST_AUTO_TEST_CASE(learnCaches_ownRequestsSinceTheStart_areNoReasonNotToAsk)
+{
+    core = entry_core({"self", "domain", {}, true});
+    start(1, 0);
+    tickAt(10ms);
+    request("brief", {{1, 500}, {2, 9000}, {3, 100}});
+    BOOST_TEST(sentTo() == "engine-0");
+    apply(entry_event::load_told {{"other", {}, {{hashText("engine-0"), {1, 2}}}}});
+    tickAt(900ms);
+    BOOST_TEST(effect<entry_effect::list_held_parts>() != nullptr);
+    BOOST_TEST(core.knowsCaches());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_router_news.cpp
+++ b/tests/test_router_news.cpp
@@ -53,6 +53,15 @@
     BOOST_TEST(live == 1);
 }
 
+BOOST_AUTO_TEST_CASE(seedsChanged_newSeed_isAsked)
+{
+    at(0ms, news_event::tick {});
+    at(1ms, news_event::exchange_failed {"seed:1"});
+    at(2ms, news_event::seeds_changed {{"seed:2", "self:1"}});
+    at(200ms, news_event::tick {}); // the first one has its pause still
+    BOOST_TEST(asked() == "seed:2");
+}
+
 BOOST_AUTO_TEST_CASE(heard_routersOfAnother_countAsLiveByTheirAge)
 {
     at(0ms, news_event::heard {"b", "b:1", "b:2", {{"c", "c:1", "c:2", 2s}, {"d", "d:1", "d:2", 60s}}});
