--- a/include/nutmegtally/prefix_map.h
+++ b/include/nutmegtally/prefix_map.h
@@ -26,14 +26,20 @@
 /// @return 0 if there are no parts.
 std::uint64_t subjectOf(const prompt_parts &parts);
 
+/// How much of a prompt an upstream keeps.
+struct prompt_holding {
+    std::uint32_t upstream = 0;
+    std::uint64_t tokens = 0;
+};
+
 class prefix_map
 {
 public:
     /// Records that an upstream reads a prompt.
     void note(const std::vector<std::uint64_t> &parts, std::uint32_t upstream, time_point now);
 
-    /// Tokens at the start of a prompt that the upstream probably keeps.
-    std::uint64_t cachedTokens(const prompt_parts &parts, std::uint32_t upstream, time_point now) const;
+    /// Upstreams that probably keep the start of a prompt, in the order of their numbers, and how many tokens of it.
+    std::vector<prompt_holding> holdings(const prompt_parts &parts, time_point now) const;
 
     /// Ids of the parts that each upstream probably keeps.
     std::unordered_map<std::uint32_t, std::vector<std::uint64_t>> heldParts(time_point now) const;
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -107,6 +107,7 @@
 /// One listed incarnation and what this router knows of it.
 struct upstream_state {
     upstream_record record;
+    std::uint64_t hash = 0; // of the instance's name
     upstream_number number = noUpstreamNumber;
     time_point coldUntil;
     unsigned inFlight = 0; // this router's requests there
@@ -207,18 +208,37 @@
     static constexpr std::size_t homes = 2;
     using home_list = std::array<const upstream_state *, homes>;
 
+    /// An upstream that takes part in a choice.
+    struct candidate {
+        upstream_state *state = nullptr;
+        double load = 0;
+    };
+
+    /// What a choice needs to know of its prompt.
+    struct prompt_view {
+        home_list ranked {};
+        std::vector<prompt_holding> holdings;
+        const upstream_state *holder = nullptr; // keeps most of the prompt and answers; null if nobody does
+        std::uint64_t heldTokens = 0; // that it keeps
+    };
+
     void notePrompts(const std::vector<prompt_notice> &prompts, time_point now);
     bool isOpen(const upstream_state &upstream) const;
     bool mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const;
-    double scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule, const home_list &ranked,
+    std::vector<candidate> candidatesFor(const placement_request &request, placement &result, double &totalLoad, double &totalFailures,
+                                         time_point now);
+    prompt_view viewPrompt(const std::vector<candidate> &open, const prompt_parts &parts, time_point now) const;
+    const std::vector<upstream_state *> &ofService(std::string_view service);
+    double scoreEngine(const candidate &option, const placement_request &request, const service_rule &rule, const prompt_view &prompt,
                        placement &details, time_point now) const;
-    const upstream_state *bestHolder(const prompt_parts &parts, std::uint64_t &tokens, time_point now) const;
     std::uint64_t pendingTokens(const upstream_state &upstream, time_point now) const;
-    double scoreService(const upstream_state &upstream, time_point now) const;
+    static double scoreService(const candidate &option);
     upstream_state *mutableState(upstream_number number);
 
     std::string m_ownDomain;
     std::map<std::string, upstream_state> m_upstreams; // by instance
+    std::unordered_map<std::string, std::vector<upstream_state *>> m_byService; // into m_upstreams
+    bool m_servicesChanged = false; // m_byService has to be built again
     std::unordered_map<upstream_number, std::string> m_instanceOf;
     std::unordered_set<std::string> m_closedDomains;
     std::string m_self;
@@ -226,7 +246,7 @@
     prefix_map m_prefixes; // prompts of this router and those that others told of
     std::unordered_map<std::uint64_t, upstream_number> m_numberOf; // by hash of the instance's name
     std::unordered_map<std::string, std::uint32_t> m_tellers; // index of each router that ever told its load
-    std::unordered_map<std::uint32_t, time_point> m_toldAt; // last notice of each teller
+    std::unordered_map<std::uint32_t, std::vector<upstream_number>> m_toldBy; // upstreams in the last notice of each teller
     std::vector<prompt_notice> m_untold; // prompts sent since the last notice
     std::unordered_set<upstream_number> m_learnt; // engines of which another router or they themselves told all they keep
     upstream_number m_lastNumber = noUpstreamNumber;
--- a/src/prefix_map.cpp
+++ b/src/prefix_map.cpp
@@ -42,26 +42,40 @@
             continue;
         }
         std::erase_if(holders, [now](const holder &h) { return !isFresh(h, now); });
+        if (holders.size() >= limits::holdersPerPart) {
+            // A part that so many engines keep is the beginning of all prompts; which ones keep it no longer matters.
+            *std::min_element(holders.begin(), holders.end(), [](const holder &a, const holder &b) { return a.usedAt < b.usedAt; })
+                = {upstream, now};
+            continue;
+        }
         holders.push_back({upstream, now});
     }
 }
 
-std::uint64_t prefix_map::cachedTokens(const prompt_parts &parts, std::uint32_t upstream, time_point now) const
+std::vector<prompt_holding> prefix_map::holdings(const prompt_parts &parts, time_point now) const
 {
-    // An engine that keeps a part has read all parts before it.
+    std::vector<prompt_holding> holdings;
     std::uint64_t before = 0;
-    std::uint64_t cached = 0;
     for (const prompt_part &part : parts) {
         before += part.tokens;
         const auto found = m_holders.find(part.id);
         if (found == m_holders.end()) {
             continue;
         }
-        const bool held = std::any_of(found->second.begin(), found->second.end(),
-                                      [upstream, now](const holder &h) { return h.upstream == upstream && isFresh(h, now); });
-        cached = held ? before : cached;
+        for (const holder &each : found->second) {
+            if (isFresh(each, now)) {
+                holdings.push_back({each.upstream, before}); // an engine that keeps a part has read all parts before it
+            }
+        }
     }
-    return cached;
+    // The longest holding of each upstream stays.
+    std::sort(holdings.begin(), holdings.end(), [](const prompt_holding &a, const prompt_holding &b) {
+        return a.upstream != b.upstream ? a.upstream < b.upstream : a.tokens > b.tokens;
+    });
+    const auto end = std::unique(holdings.begin(), holdings.end(),
+                                 [](const prompt_holding &a, const prompt_holding &b) { return a.upstream == b.upstream; });
+    holdings.erase(end, holdings.end());
+    return holdings;
 }
 
 std::unordered_map<std::uint32_t, std::vector<std::uint64_t>> prefix_map::heldParts(time_point now) const
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -24,9 +24,9 @@
 }
 
 /// Rank of an upstream for a subject; the highest of all is the subject's home.
-std::uint64_t rankOf(std::uint64_t subject, const std::string &instance)
+std::uint64_t rankOf(std::uint64_t subject, const upstream_state &upstream)
 {
-    return mixHash(subject, hashText(instance));
+    return mixHash(subject, upstream.hash);
 }
 
 } // namespace
@@ -46,6 +46,7 @@
         upstream_record same = state.record;
         same.coldFor = record.coldFor;
         const bool changed = !(same == record) || state.missing;
+        m_servicesChanged = m_servicesChanged || state.record.service != record.service;
         state.record = record;
         state.missing = false;
         state.coldUntil = coldUntil;
@@ -53,6 +54,7 @@
     }
     upstream_state state;
     state.record = record;
+    state.hash = hashText(record.instance);
     state.number = ++m_lastNumber;
     state.coldUntil = coldUntil;
     state.coldRefilledAt = now;
@@ -61,7 +63,8 @@
         m_instanceOf.erase(known->second.number);
     }
     m_instanceOf[state.number] = record.instance;
-    m_numberOf[hashText(record.instance)] = state.number;
+    m_numberOf[state.hash] = state.number;
+    m_servicesChanged = true;
     m_upstreams[record.instance] = std::move(state);
     return true;
 }
@@ -80,7 +83,9 @@
         return;
     }
     m_instanceOf.erase(known->second.number);
-    m_numberOf.erase(hashText(instance));
+    m_numberOf.erase(known->second.hash);
+    m_learnt.erase(known->second.number);
+    m_servicesChanged = true;
     m_upstreams.erase(known);
 }
 
@@ -120,7 +125,7 @@
         told += now - share.toldAt < limits::noticeLifetime ? share.inFlight : 0;
     }
     double stated = 0;
-    if (upstream.hasReport) {
+    if (upstream.hasReport && now - upstream.reportedAt < limits::reportLifetime) {
         const double total = upstream.reported.running + upstream.reported.waiting;
         stated = std::max(0.0, total - upstream.inFlightAtReport) * halved(now - upstream.reportedAt, limits::reportHalfLife);
     }
@@ -140,14 +145,17 @@
 {
     const auto [teller, isNew] = m_tellers.try_emplace(notice.router, static_cast<std::uint32_t>(m_tellers.size()));
     const std::uint32_t router = teller->second;
-    for (auto &[instance, state] : m_upstreams) {
-        std::erase_if(state.told, [router, now](const told_share &share) {
-            return share.router == router || now - share.toldAt >= limits::noticeLifetime;
-        });
+    std::vector<upstream_number> &told = m_toldBy[router];
+    for (const upstream_number number : told) {
+        if (upstream_state *state = mutableState(number)) {
+            std::erase_if(state->told, [router](const told_share &share) { return share.router == router; });
+        }
     }
+    told.clear();
     for (const upstream_share &share : notice.shares) {
         if (const auto number = m_numberOf.find(share.upstream); number != m_numberOf.end()) {
             mutableState(number->second)->told.push_back({router, share.inFlight, share.pendingTokens, now});
+            told.push_back(number->second);
         }
     }
     notePrompts(notice.prompts, now);
@@ -184,7 +192,7 @@
     std::vector<prompt_notice> prompts;
     for (const auto &[number, parts] : m_prefixes.heldParts(now)) {
         if (const auto instance = m_instanceOf.find(number); instance != m_instanceOf.end()) {
-            prompts.push_back({hashText(instance->second), parts});
+            prompts.push_back({m_upstreams.at(instance->second).hash, parts});
         }
     }
     return prompts;
@@ -192,20 +200,31 @@
 
 std::vector<upstream_record> upstream_set::unknownEngines(const traffic_rules &rules) const
 {
-    std::vector<upstream_record> engines;
+    std::vector<std::uint64_t> routers;
+    for (const std::string &router : m_routers) {
+        routers.push_back(hashText(router));
+    }
+    const std::uint64_t self = hashText(m_self);
+    std::vector<std::pair<std::uint64_t, const upstream_state *>> own;
     for (const auto &[instance, state] : m_upstreams) {
         const service_rule *rule = rules.service(state.record.service);
         if (rule == nullptr || rule->engineSlots == 0 || m_learnt.contains(state.number) || !isOpen(state)) {
             continue;
         }
-        const auto first
-            = std::min_element(m_routers.begin(), m_routers.end(), [&name = instance](const std::string &a, const std::string &b) {
-                  return mixHash(hashText(a), hashText(name)) < mixHash(hashText(b), hashText(name));
-              });
-        if (first == m_routers.end() || *first == m_self) {
-            engines.push_back(state.record);
+        const std::uint64_t rank = mixHash(self, state.hash);
+        const bool isFirst
+            = std::all_of(routers.begin(), routers.end(), [&](std::uint64_t router) { return mixHash(router, state.hash) >= rank; });
+        if (isFirst) {
+            own.emplace_back(rank, &state);
         }
     }
+    // A router that has not heard of the others yet would ask all engines, and so would they.
+    std::sort(own.begin(), own.end());
+    own.resize(std::min(own.size(), limits::learnsAtOnce));
+    std::vector<upstream_record> engines;
+    for (const auto &[rank, state] : own) {
+        engines.push_back(state->record);
+    }
     return engines;
 }
 
@@ -215,34 +234,16 @@
     notice.router = m_self;
     for (const auto &[instance, state] : m_upstreams) {
         if (state.inFlight > 0) {
-            notice.shares.push_back({hashText(instance), state.inFlight, static_cast<std::uint32_t>(state.pendingTokens)});
+            notice.shares.push_back({state.hash, state.inFlight, static_cast<std::uint32_t>(state.pendingTokens)});
         }
     }
     notice.prompts.swap(m_untold);
     return notice;
 }
 
-const upstream_state *upstream_set::bestHolder(const prompt_parts &parts, std::uint64_t &tokens, time_point now) const
-{
-    const upstream_state *best = nullptr;
-    tokens = 0;
-    for (const auto &[instance, state] : m_upstreams) {
-        // One that leaves still answers; one that failed lately may not.
-        if (now < state.avoidedUntil || state.missing || state.failuresInRow > 0) {
-            continue;
-        }
-        const std::uint64_t held = m_prefixes.cachedTokens(parts, state.number, now);
-        if (held > tokens) {
-            tokens = held;
-            best = &state;
-        }
-    }
-    return best;
-}
-
 bool upstream_set::isOpen(const upstream_state &upstream) const
 {
-    return !upstream.record.isLeaving && !m_closedDomains.contains(upstream.record.domain);
+    return !upstream.record.isLeaving && (m_closedDomains.empty() || !m_closedDomains.contains(upstream.record.domain));
 }
 
 bool upstream_set::mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const
@@ -253,7 +254,7 @@
     // Only a few routers use a cold upstream, each with its part of the rate: many parts would be too small to use.
     std::vector<std::pair<std::uint64_t, const std::string *>> ranked;
     for (const std::string &router : m_routers) {
-        ranked.emplace_back(mixHash(hashText(router), hashText(upstream.record.instance)), &router);
+        ranked.emplace_back(mixHash(hashText(router), upstream.hash), &router);
     }
     std::sort(ranked.begin(), ranked.end());
     const std::size_t sharing = std::min(limits::coldRouters, std::max<std::size_t>(1, ranked.size()));
@@ -270,146 +271,177 @@
     return upstream.coldTokens >= 1.0;
 }
 
-double upstream_set::scoreEngine(const upstream_state &upstream, const placement_request &request, const service_rule &rule,
-                                 const home_list &ranked, placement &details, time_point now) const
+double upstream_set::scoreEngine(const candidate &option, const placement_request &request, const service_rule &rule,
+                                 const prompt_view &prompt, placement &details, time_point now) const
 {
+    const upstream_state &upstream = *option.state;
     const prompt_parts &parts = *request.parts;
     const std::uint64_t total = totalTokens(parts);
     const std::uint64_t own = parts.empty() ? 0 : parts.back().tokens;
-    const std::uint64_t cached = m_prefixes.cachedTokens(parts, upstream.number, now);
+    const auto held = std::lower_bound(prompt.holdings.begin(), prompt.holdings.end(), upstream.number,
+                                       [](const prompt_holding &holding, upstream_number number) { return holding.upstream < number; });
+    const std::uint64_t cached = held != prompt.holdings.end() && held->upstream == upstream.number ? held->tokens : 0;
     details.cachedTokens = cached;
-    details.load = estimatedLoad(upstream, now);
+    details.fetchTokens = prompt.heldTokens;
     // What some other engine keeps is fetched from there; the rest of the shared parts is read again.
     const std::uint64_t shared = total - std::min(total, own);
-    const std::uint64_t fetched = details.fetchTokens > cached ? details.fetchTokens - cached : 0;
-    const std::uint64_t known = std::max(cached, details.fetchTokens);
+    const std::uint64_t fetched = prompt.heldTokens > cached ? prompt.heldTokens - cached : 0;
+    const std::uint64_t known = std::max(cached, prompt.heldTokens);
     const std::uint64_t read = total - std::min(total, known);
     double score = static_cast<double>(read + pendingTokens(upstream, now)) / limits::assumedPrefillTokensPerMs;
     score += static_cast<double>(std::min(fetched, shared)) * limits::fetchCostMsPerToken;
-    if (cached == 0 && details.fetchTokens == 0 && std::find(ranked.begin(), ranked.end(), &upstream) == ranked.end()) {
+    const bool isHome = std::find(prompt.ranked.begin(), prompt.ranked.end(), &upstream) != prompt.ranked.end();
+    if (cached == 0 && prompt.heldTokens == 0 && !isHome) {
         score += limits::awayFromHomeMs; // routers that do not know of each other's choice agree on the homes
     }
-    score += details.load * limits::engineStepMsPerRequest;
+    score += option.load * limits::engineStepMsPerRequest;
     if (rule.cacheTokens > 0 && upstream.inFlight > 0) {
         // Memory of all routers' requests, from this router's own and its part of the load.
-        const double held = static_cast<double>(upstream.heldTokens) * std::max(1.0, details.load / upstream.inFlight);
-        const double over = (held + static_cast<double>(total)) / static_cast<double>(rule.cacheTokens) - limits::engineFillLimit;
+        const double occupied = static_cast<double>(upstream.heldTokens) * std::max(1.0, option.load / upstream.inFlight);
+        const double over = (occupied + static_cast<double>(total)) / static_cast<double>(rule.cacheTokens) - limits::engineFillLimit;
         score += over > 0 ? 1000.0 * over : 0;
     }
     return score;
 }
 
-double upstream_set::scoreService(const upstream_state &upstream, time_point now) const
+double upstream_set::scoreService(const candidate &option)
 {
-    const double load = estimatedLoad(upstream, now);
-    const double slots = std::max(1U, upstream.record.slots);
+    const double slots = std::max(1U, option.state->record.slots);
     // Beyond its slots a request waits for another one to end.
-    const double waiting = std::max(0.0, load + 1 - slots);
-    return 10.0 * load / slots + 60.0 * waiting / slots;
+    const double waiting = std::max(0.0, option.load + 1 - slots);
+    return 10.0 * option.load / slots + 60.0 * waiting / slots;
 }
 
-placement upstream_set::choose(const placement_request &request, const traffic_rules &rules, time_point now)
+const std::vector<upstream_state *> &upstream_set::ofService(std::string_view service)
 {
-    placement best;
-    const service_rule *rule = rules.service(request.service);
-    if (rule == nullptr) {
-        return best;
+    if (m_servicesChanged) {
+        m_servicesChanged = false;
+        m_byService.clear();
+        for (auto &[instance, state] : m_upstreams) {
+            m_byService[state.record.service].push_back(&state);
+        }
     }
-    const bool isEngine = request.parts != nullptr && rule->engineSlots > 0;
-    const std::uint64_t subject = isEngine ? subjectOf(*request.parts) : 0;
+    return m_byService[std::string(service)];
+}
 
-    std::vector<upstream_state *> open;
-    bool anyOpen = false;
+std::vector<upstream_set::candidate> upstream_set::candidatesFor(const placement_request &request, placement &result, double &totalLoad,
+                                                                 double &totalFailures, time_point now)
+{
+    std::vector<candidate> open;
     bool anyTried = false;
-    double totalLoad = 0;
-    double totalFailures = 0;
-    home_list ranked {};
-    std::array<std::uint64_t, homes> ranks {};
-    for (auto &[instance, state] : m_upstreams) {
-        if (state.record.service != request.service || !isOpen(state)) {
+    for (upstream_state *state : ofService(request.service)) {
+        if (!isOpen(*state)) {
             continue;
         }
-        anyOpen = true;
-        if (request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(), state.number) != request.tried->end()) {
+        if (request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(), state->number) != request.tried->end()) {
             anyTried = true;
             continue;
         }
-        open.push_back(&state);
-        totalLoad += estimatedLoad(state, now);
-        totalFailures += state.failureRate;
-        if (isEngine && now >= state.avoidedUntil) {
-            const std::uint64_t rank = rankOf(subject, instance);
-            if (ranked[0] == nullptr || rank > ranks[0]) {
-                ranked[1] = ranked[0];
-                ranks[1] = ranks[0];
-                ranked[0] = &state;
-                ranks[0] = rank;
-            } else if (ranked[1] == nullptr || rank > ranks[1]) {
-                ranked[1] = &state;
-                ranks[1] = rank;
-            }
+        open.push_back({state, estimatedLoad(*state, now)});
+        totalLoad += open.back().load;
+        totalFailures += state->failureRate;
+    }
+    result.outcome = open.empty() ? (anyTried ? placement_outcome::allTried : placement_outcome::noneListed) : placement_outcome::allFull;
+    result.candidates = static_cast<unsigned>(open.size());
+    return open;
+}
+
+upstream_set::prompt_view upstream_set::viewPrompt(const std::vector<candidate> &open, const prompt_parts &parts, time_point now) const
+{
+    prompt_view view;
+    view.holdings = m_prefixes.holdings(parts, now);
+    for (const prompt_holding &holding : view.holdings) {
+        const upstream_state *state = find(holding.upstream);
+        // One that leaves still answers; one that failed lately may not.
+        const bool answers = state != nullptr && now >= state->avoidedUntil && !state->missing && state->failuresInRow == 0;
+        if (answers && holding.tokens > view.heldTokens) {
+            view.heldTokens = holding.tokens;
+            view.holder = state;
+        }
+    }
+    const std::uint64_t subject = subjectOf(parts);
+    std::array<std::uint64_t, homes> ranks {};
+    for (const candidate &each : open) {
+        if (now < each.state->avoidedUntil) {
+            continue;
+        }
+        const std::uint64_t rank = rankOf(subject, *each.state);
+        if (view.ranked[0] == nullptr || rank > ranks[0]) {
+            view.ranked[1] = view.ranked[0];
+            ranks[1] = ranks[0];
+            view.ranked[0] = each.state;
+            ranks[0] = rank;
+        } else if (view.ranked[1] == nullptr || rank > ranks[1]) {
+            view.ranked[1] = each.state;
+            ranks[1] = rank;
         }
     }
+    return view;
+}
+
+placement upstream_set::choose(const placement_request &request, const traffic_rules &rules, time_point now)
+{
+    placement best;
+    const service_rule *rule = rules.service(request.service);
+    if (rule == nullptr) {
+        return best;
+    }
+    double totalLoad = 0;
+    double totalFailures = 0;
+    const std::vector<candidate> open = candidatesFor(request, best, totalLoad, totalFailures, now);
     if (open.empty()) {
-        best.outcome = anyOpen && anyTried ? placement_outcome::allTried : placement_outcome::noneListed;
         return best;
     }
+    const bool isEngine = request.parts != nullptr && rule->engineSlots > 0;
+    const prompt_view prompt = isEngine ? viewPrompt(open, *request.parts, now) : prompt_view {};
     const double count = static_cast<double>(open.size());
     const double loadBound = limits::loadOverMean * totalLoad / count + limits::loadOverMeanSlack;
-    const bool anyUsable = std::any_of(open.begin(), open.end(), [now](const upstream_state *s) { return now >= s->avoidedUntil; });
-
-    std::uint64_t heldTokens = 0;
-    const upstream_state *holder = isEngine ? bestHolder(*request.parts, heldTokens, now) : nullptr;
-
+    const bool anyUsable = std::any_of(open.begin(), open.end(), [now](const candidate &each) { return now >= each.state->avoidedUntil; });
     // Each request in flight has a connection of its own; other routers and idle connections take the rest.
     const double connections = rule->maxConnections > 0
                                    ? std::max(1.0, limits::connectionShare * rule->maxConnections / static_cast<double>(routers()))
                                    : std::numeric_limits<double>::infinity();
 
     bool sawCold = false;
-    best.outcome = placement_outcome::allFull;
     double bestTie = 0;
-    for (upstream_state *state : open) {
-        if (anyUsable && now < state->avoidedUntil) {
-            continue;
-        }
-        const double load = estimatedLoad(*state, now);
-        const double slots = std::max(1U, state->record.slots);
+    for (const candidate &each : open) {
+        upstream_state &state = *each.state;
+        const double slots = std::max(1U, state.record.slots);
         const double most = isEngine ? std::min(slots, loadBound) : slots * (1.0 + limits::serviceQueueShare);
-        if (load + 1 > most || state->inFlight + 1 > connections) {
+        const bool isAvoided = anyUsable && now < state.avoidedUntil;
+        if (isAvoided || each.load + 1 > most || state.inFlight + 1 > connections) {
             continue;
         }
-        if (!mayStartCold(*state, *rule, now)) {
+        if (!mayStartCold(state, *rule, now)) {
             sawCold = true;
             continue;
         }
         placement option;
-        option.upstream = state->number;
-        option.fetchTokens = heldTokens;
-        double score = isEngine ? scoreEngine(*state, request, *rule, ranked, option, now) : scoreService(*state, now);
-        score += state->record.domain == m_ownDomain ? 0 : limits::otherDomainMs;
-        score += limits::failurePenaltyMs * std::max(0.0, state->failureRate - totalFailures / count);
+        option.upstream = state.number;
+        double score = isEngine ? scoreEngine(each, request, *rule, prompt, option, now) : scoreService(each);
+        score += state.record.domain == m_ownDomain ? 0 : limits::otherDomainMs;
+        score += limits::failurePenaltyMs * std::max(0.0, state.failureRate - totalFailures / count);
         option.score = score;
-        option.load = load;
-        option.loadAge = state->hasReport ? now - state->reportedAt : duration(0);
-        const double tie = static_cast<double>(mixHash(request.tieBreak, state->number) >> 11);
+        option.load = each.load;
+        option.loadAge = state.hasReport ? now - state.reportedAt : duration(0);
+        const double tie = static_cast<double>(mixHash(request.tieBreak, state.number) >> 11);
         const bool better
             = best.upstream == noUpstreamNumber || score < best.score - 0.001 || (score < best.score + 0.001 && tie > bestTie);
         if (better) {
+            option.candidates = best.candidates;
             best = option;
             bestTie = tie;
         }
     }
-    best.candidates = static_cast<unsigned>(open.size());
-    const bool fetches
-        = holder != nullptr && holder->number != best.upstream && best.fetchTokens >= best.cachedTokens + limits::leastFetchTokens;
-    best.fetchTokens = fetches ? best.fetchTokens - best.cachedTokens : 0;
-    best.fetchFrom = fetches ? holder->record.address : std::string();
-    if (best.upstream != noUpstreamNumber) {
-        best.outcome = placement_outcome::chosen;
-    } else {
+    if (best.upstream == noUpstreamNumber) {
         best.outcome = sawCold ? placement_outcome::allCold : placement_outcome::allFull;
+        return best;
     }
+    best.outcome = placement_outcome::chosen;
+    const bool fetches = prompt.holder != nullptr && prompt.holder->number != best.upstream
+                         && best.fetchTokens >= best.cachedTokens + limits::leastFetchTokens;
+    best.fetchTokens = fetches ? best.fetchTokens - best.cachedTokens : 0;
+    best.fetchFrom = fetches ? prompt.holder->record.address : std::string();
     return best;
 }
 
@@ -431,7 +463,7 @@
     }
     // The last part is the request's own: no other request will ask for it.
     prompt_notice sent;
-    sent.upstream = hashText(state->record.instance);
+    sent.upstream = state->hash;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         sent.parts.push_back(parts[i].id);
     }
