--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <nutmegtally/log_events.h>
+#include <nutmegtally/log_line.h>
 #include <nutmegtally/reducer.h>
 #include <nutmegtally/retry_allowance.h>
 #include <nutmegtally/traffic_rules.h>
@@ -350,6 +351,7 @@
     void on(time_point now, const entry_event::drain_requested &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
 
+    log_line attemptLine(time_point now, const exchange &work) const;
     void learnCaches(time_point now, std::vector<effect> &effects);
     bool place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -87,50 +87,15 @@
 
 } // namespace
 
-struct entry_daemon::counters {
-    explicit counters(daemon_metrics &metrics)
-        : requests(metrics.counterFamily("nutmegtally_entry_requests_total", "Finished requests by outcome and reason"))
-        , attempts(metrics.counter("nutmegtally_entry_attempts_total", "Requests sent to upstreams"))
-        , callers(metrics.gauge("nutmegtally_entry_callers", "Open connections of callers"))
-        , openRequests(metrics.gauge("nutmegtally_entry_open_requests", "Requests without a final answer"))
-        , connections(metrics.gauge("nutmegtally_entry_upstream_connections", "Connections opened to upstreams since the start"))
-        , idleConnections(metrics.gauge("nutmegtally_entry_idle_upstream_connections", "Open connections to upstreams without a request"))
-        , calls(metrics.gauge("nutmegtally_entry_calls", "Calls to the object API and other routers since the start"))
-        , routers(metrics.gauge("nutmegtally_entry_routers", "Routers that share limits"))
-        , upstreams(metrics.gauge("nutmegtally_entry_upstreams", "Upstreams that are listed"))
-        , version(metrics.gauge("nutmegtally_entry_rules_version", "Version of the traffic rules in force"))
-        , droppedLines(metrics.gauge("nutmegtally_entry_log_lines_dropped", "Log lines dropped since the start"))
-        , seconds {
-              &metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "idempotent"}}),
-              &metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "non_idempotent"}}),
-              &metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "streaming"}}),
-          }
-    {
-    }
-
-    prometheus::Family<prometheus::Counter> &requests;
-    prometheus::Counter &attempts;
-    prometheus::Gauge &callers;
-    prometheus::Gauge &openRequests;
-    prometheus::Gauge &connections;
-    prometheus::Gauge &idleConnections;
-    prometheus::Gauge &calls;
-    prometheus::Gauge &routers;
-    prometheus::Gauge &upstreams;
-    prometheus::Gauge &version;
-    prometheus::Gauge &droppedLines;
-    std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> seconds;
-};
-
 entry_daemon::entry_daemon(boost::asio::io_context &context, const entry_settings &settings, std::function<entry_settings()> reload)
     : m_context(context)
     , m_settings(settings)
     , m_reload(std::move(reload))
     , m_log(logOptionsFrom(settings))
-    , m_counters(std::make_unique<counters>(m_metrics))
     , m_calls(context, [this] { return now(); })
     , m_serving(context, platform::request_codec(), optionsFrom(settings),
-                {[this](const log_record &record) { carryOut(record); }, [this](const exchange_report &report) { finished(report); },
+                {[this](const log_record &record) { carryOut(record); },
+                 [this](const exchange_report &report) { m_metrics.finished(report); },
                  [this](const entry_effect::list_held_parts &listed) { listHeldParts(listed); }, [this] { return now(); }})
     , m_followers {object_follower(followerFor(followedNames[0])), object_follower(followerFor(followedNames[1])),
                    object_follower(followerFor(followedNames[2]))}
@@ -181,8 +146,6 @@
     tick();
 }
 
-entry_daemon::~entry_daemon() = default;
-
 time_point entry_daemon::now() const
 {
     return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
@@ -206,32 +169,14 @@
     forEach(effects, [this, kind](const auto &effect) { carryOut(kind, effect); });
 }
 
-void entry_daemon::carryOut(followed kind, const follower_effect::read_page &page)
+template<typename Decode>
+void entry_daemon::callObjects(followed kind, std::string target, duration timeout, Decode decode)
 {
     call_request request;
     request.address = m_settings.objects;
-    request.target = platform::listTarget(followedNames[static_cast<std::size_t>(kind)], page);
-    request.timeout = listTimeout;
-    m_calls.call(request, [this, kind](const call_result &result) {
-        if (result.status != 200) {
-            apply(kind, follower_event::call_failed {result.status == 0 ? result.failure : "status " + std::to_string(result.status)});
-            return;
-        }
-        try {
-            apply(kind, platform::decodePage(result.body));
-        } catch (const std::exception &fault) {
-            apply(kind, follower_event::call_failed {fault.what()});
-        }
-    });
-}
-
-void entry_daemon::carryOut(followed kind, const follower_effect::wait_for_changes &wait)
-{
-    call_request request;
-    request.address = m_settings.objects;
-    request.target = platform::watchTarget(followedNames[static_cast<std::size_t>(kind)], wait);
-    request.timeout = wait.wait + callMargin;
-    m_calls.call(request, [this, kind](const call_result &result) {
+    request.target = std::move(target);
+    request.timeout = timeout;
+    m_calls.call(request, [this, kind, decode](const call_result &result) {
         if (result.status == platform::historyLostStatus) {
             apply(kind, follower_event::history_lost {});
             return;
@@ -241,13 +186,24 @@
             return;
         }
         try {
-            apply(kind, platform::decodeChanges(result.body));
+            apply(kind, decode(result.body));
         } catch (const std::exception &fault) {
             apply(kind, follower_event::call_failed {fault.what()});
         }
     });
 }
 
+void entry_daemon::carryOut(followed kind, const follower_effect::read_page &page)
+{
+    callObjects(kind, platform::listTarget(followedNames[static_cast<std::size_t>(kind)], page), listTimeout, platform::decodePage);
+}
+
+void entry_daemon::carryOut(followed kind, const follower_effect::wait_for_changes &wait)
+{
+    const std::string target = platform::watchTarget(followedNames[static_cast<std::size_t>(kind)], wait);
+    callObjects(kind, target, wait.wait + callMargin, platform::decodeChanges);
+}
+
 void entry_daemon::carryOut(followed kind, const follower_effect::object_changed &changed)
 {
     std::string why;
@@ -318,7 +274,7 @@
 {
     m_log.write(now(), record);
     if (record.event == log_event::attemptStarted) {
-        m_counters->attempts.Increment();
+        m_metrics.attemptStarted();
     }
 }
 
@@ -512,23 +468,17 @@
         return plainAnswer(404, "this listener serves /metrics\n");
     }
     const entry_core &decisions = m_serving.decisions();
-    m_counters->callers.Set(static_cast<double>(m_serving.callers()));
-    m_counters->openRequests.Set(static_cast<double>(decisions.openExchanges()));
-    m_counters->connections.Set(static_cast<double>(m_serving.connectionsOpened()));
-    m_counters->idleConnections.Set(static_cast<double>(m_serving.idleUpstreamConnections()));
-    m_counters->calls.Set(static_cast<double>(m_calls.calls()));
-    m_counters->routers.Set(static_cast<double>(decisions.upstreams().routers()));
-    m_counters->upstreams.Set(static_cast<double>(decisions.upstreams().size()));
-    m_counters->version.Set(decisions.rules() ? static_cast<double>(decisions.rules()->version) : 0);
-    m_counters->droppedLines.Set(static_cast<double>(m_log.dropped()));
-    return {200, {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}}, m_metrics.text()};
-}
-
-void entry_daemon::finished(const exchange_report &report)
-{
-    const metric_labels labels {{"outcome", std::string(report.outcome)}, {"reason", std::string(report.reason)}};
-    m_counters->requests.Add(labels).Increment();
-    m_counters->seconds[static_cast<std::size_t>(report.kind)]->Observe(std::chrono::duration<double>(report.took).count());
+    entry_gauges now;
+    now.callers = m_serving.callers();
+    now.openRequests = decisions.openExchanges();
+    now.connections = m_serving.connectionsOpened();
+    now.idleConnections = m_serving.idleUpstreamConnections();
+    now.calls = m_calls.calls();
+    now.routers = decisions.upstreams().routers();
+    now.upstreams = decisions.upstreams().size();
+    now.version = decisions.rules() ? decisions.rules()->version : 0;
+    now.droppedLines = m_log.dropped();
+    return {200, {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}}, m_metrics.text(now)};
 }
 
 void entry_daemon::tick()
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -3,7 +3,7 @@
 // snapshots for the followers.
 #pragma once
 
-#include "daemon_metrics.h"
+#include "entry/entry_metrics.h"
 #include "entry/entry_settings.h"
 #include "entry/json_log.h"
 #include "entry/news_codec.h"
@@ -34,7 +34,6 @@
     /// @param reload Reads the settings file again after SIGHUP; throws if it has faults.
     /// @throws std::exception if a listener cannot be bound.
     entry_daemon(boost::asio::io_context &context, const entry_settings &settings, std::function<entry_settings()> reload);
-    ~entry_daemon();
 
     /// Serves until SIGTERM and the graceful shutdown are over.
     /// @return False if the shutdown cut work.
@@ -51,11 +50,12 @@
 
     static constexpr std::size_t followedKinds = static_cast<std::size_t>(followed::count);
 
-    struct counters;
-
     time_point now() const;
     object_follower &follower(followed kind);
     void apply(followed kind, const object_follower::event &event);
+    /// Calls the object API; what comes back becomes an event of the kind's follower.
+    template<typename Decode>
+    void callObjects(followed kind, std::string target, duration timeout, Decode decode);
     void carryOut(followed kind, const follower_effect::read_page &page);
     void carryOut(followed kind, const follower_effect::wait_for_changes &wait);
     void carryOut(followed kind, const follower_effect::object_changed &changed);
@@ -80,7 +80,6 @@
     own_answer answerReady(const http_head &head) const;
     own_answer answerMetrics(const http_head &head);
     bool isReady() const;
-    void finished(const exchange_report &report);
     void tick();
     void awaitSignals();
     void startShutdown();
@@ -90,8 +89,7 @@
     entry_settings m_settings;
     std::function<entry_settings()> m_reload;
     json_log m_log;
-    daemon_metrics m_metrics;
-    std::unique_ptr<counters> m_counters;
+    entry_metrics m_metrics;
     call_client m_calls;
     serving_core<platform::request_codec> m_serving;
     std::array<object_follower, followedKinds> m_followers;
--- a/scripts/check_docs.py
+++ b/scripts/check_docs.py
@@ -20,12 +20,12 @@
 
 def check_entry_metrics() -> None:
     """Fails if the page and the daemon name different metrics."""
-    source = (ROOT / "programs/entry/entry_daemon.cpp").read_text(encoding="utf-8")
+    source = (ROOT / "programs/entry/entry_metrics.cpp").read_text(encoding="utf-8")
     served = set(re.findall(r'"(nutmegtally_entry_\w+)"', source))
     page = (ROOT / "docs/metrics.md").read_text(encoding="utf-8")
     listed = set(re.findall(r"^\| `(nutmegtally_entry_\w+)`", page, re.M))
     if served != listed:
-        sys.exit(f"check_docs: docs/metrics.md and entry_daemon.cpp differ: {sorted(served ^ listed)}")
+        sys.exit(f"check_docs: docs/metrics.md and entry_metrics.cpp differ: {sorted(served ^ listed)}")
     print("check_docs: docs/metrics.md lists the metrics of nutmegtally-entry")
 
 
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -59,6 +59,16 @@
 
 } // namespace
 
+log_line entry_core::attemptLine(time_point now, const exchange &work) const
+{
+    const upstream_state *upstream = m_upstreams.find(work.upstream);
+    log_line line;
+    line.with("request", work.request.requestId)
+        .with("upstream", upstream ? std::string_view(upstream->record.instance) : "gone")
+        .with("after_ms", now - work.sentAt);
+    return line;
+}
+
 entry_core::entry_core(entry_options options)
     : m_options(std::move(options))
     , m_upstreams(m_options.domain)
@@ -313,14 +323,8 @@
     if (answer.load) {
         m_upstreams.reportLoad(work.upstream, *answer.load, now);
     }
-    const upstream_state *upstream = m_upstreams.find(work.upstream);
-    log_line line;
-    line.with("request", work.request.requestId)
-        .with("upstream", upstream ? upstream->record.instance : "gone")
-        .with("status", answer.status)
-        .with("not_run", answer.notRun)
-        .with("signed", answer.isSigned)
-        .with("after_ms", now - work.sentAt);
+    log_line line = attemptLine(now, work);
+    line.with("status", answer.status).with("not_run", answer.notRun).with("signed", answer.isSigned);
     const bool isSuccess = answer.status >= 200 && answer.status < 300;
     if (answer.notRun) {
         effects.push_back(record(log_event::attemptRefused, line));
@@ -377,12 +381,8 @@
         return;
     }
     exchange &work = found->second;
-    const upstream_state *upstream = m_upstreams.find(work.upstream);
-    log_line line;
-    line.with("request", work.request.requestId)
-        .with("upstream", upstream ? upstream->record.instance : "gone")
-        .with("failure", nameOf(input.failure))
-        .with("after_ms", now - work.sentAt);
+    log_line line = attemptLine(now, work);
+    line.with("failure", nameOf(input.failure));
     effects.push_back(record(log_event::attemptFailed, line));
     const bool wasSent = input.failure != attempt_failure::unreachable;
     endAttempt(now, work, wasSent ? upstream_verdict::lost : upstream_verdict::unreachable);
@@ -409,11 +409,7 @@
         return;
     }
     exchange &work = found->second;
-    const upstream_state *upstream = m_upstreams.find(work.upstream);
-    log_line line;
-    line.with("request", work.request.requestId)
-        .with("upstream", upstream ? upstream->record.instance : "gone")
-        .with("after_ms", now - work.sentAt);
+    log_line line = attemptLine(now, work);
     effects.push_back(record(log_event::streamBroken, line));
     endAttempt(now, work, upstream_verdict::lost);
     if (work.route->isResumable && mayTryAgain(now, work, effects)) {
@@ -555,11 +551,7 @@
         return;
     }
     work.wasOverdue = true;
-    const upstream_state *upstream = m_upstreams.find(work.upstream);
-    log_line line;
-    line.with("request", work.request.requestId)
-        .with("upstream", upstream ? upstream->record.instance : "gone")
-        .with("after_ms", now - work.sentAt);
+    log_line line = attemptLine(now, work);
     effects.push_back(record(log_event::attemptOverdue, line));
     if (!work.route->mayRepeat() || !mayTryAgain(now, work, effects)) {
         m_upstreams.judge(work.upstream, upstream_verdict::overdue, now);
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -111,6 +111,10 @@
 
 void object_follower::on(time_point now, const follower_event::history_lost &, std::vector<effect> &effects)
 {
+    if (m_phase != phase::waiting) {
+        on(now, follower_event::call_failed {"a list call was refused as if it were a wait"}, effects);
+        return;
+    }
     answered(now, effects);
     m_mustList = true;
     startList(now, effects);
--- a/tests/test_object_follower.cpp
+++ b/tests/test_object_follower.cpp
@@ -113,6 +113,15 @@
     BOOST_TEST((effect<follower_effect::object_removed>()->grace == 0ms));
 }
 
+BOOST_AUTO_TEST_CASE(historyLost_whileListing_isAFailedCallAndNoLoop)
+{
+    at(0ms, follower_event::tick {});
+    at(5ms, follower_event::history_lost {});
+    BOOST_TEST(effect<follower_effect::read_page>() == nullptr);
+    at(100ms, follower_event::tick {});
+    BOOST_TEST(effect<follower_effect::read_page>() != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(callFailed_once_isRepeatedAtOnceWithoutAnOutage)
 {
     start();
