--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -201,6 +201,7 @@
 std::vector<upstream_record> upstream_set::unknownEngines(const traffic_rules &rules) const
 {
     std::vector<std::uint64_t> routers;
+    routers.reserve(m_routers.size());
     for (const std::string &router : m_routers) {
         routers.push_back(hashText(router));
     }
@@ -211,9 +212,10 @@
         if (rule == nullptr || rule->engineSlots == 0 || m_learnt.contains(state.number) || !isOpen(state)) {
             continue;
         }
-        const std::uint64_t rank = mixHash(self, state.hash);
+        const std::uint64_t hash = state.hash;
+        const std::uint64_t rank = mixHash(self, hash);
         const bool isFirst
-            = std::all_of(routers.begin(), routers.end(), [&](std::uint64_t router) { return mixHash(router, state.hash) >= rank; });
+            = std::all_of(routers.begin(), routers.end(), [hash, rank](std::uint64_t router) { return mixHash(router, hash) >= rank; });
         if (isFirst) {
             own.emplace_back(rank, &state);
         }
@@ -222,6 +224,7 @@
     std::sort(own.begin(), own.end());
     own.resize(std::min(own.size(), limits::learnsAtOnce));
     std::vector<upstream_record> engines;
+    engines.reserve(own.size());
     for (const auto &[rank, state] : own) {
         engines.push_back(state->record);
     }
