test_daemon_objects: the silent watch's handler shares its flag

Ruled out: the client; the race is between the test's own handler and the next test's stack. Change: the flag is shared by both; every check stays.

--- a/tests/test_daemon_objects.cpp
+++ b/tests/test_daemon_objects.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -154,14 +155,15 @@
 
 BOOST_AUTO_TEST_CASE(objectClient_silentWatch_endsAtTimeLimit)
 {
-    std::atomic<bool> release = false;
-    answerWith([&](HTTPServerRequest &, HTTPServerResponse &) {
-        while (!release) {
+    // Shared with the handler's thread, which may look at it once more after this test has ended.
+    const auto release = std::make_shared<std::atomic<bool>>(false);
+    answerWith([release](HTTPServerRequest &, HTTPServerResponse &) {
+        while (!*release) {
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
     });
     BOOST_TEST((client.watch("a", 3, std::chrono::milliseconds(50)).status == object_status::unavailable));
-    release = true;
+    *release = true;
     answerWith(304, "", "");
     const object_reply quiet = client.watch("a", 3, std::chrono::milliseconds(50));
     BOOST_TEST((quiet.status == object_status::ok));
