Read-through: content hash kept with its objects, one decoding of an answer's head, no work for an empty queue

Cause: reading the change once more. The hash over all objects of three kinds was computed ten times a second for datagrams; a head was decoded for its id and again for the reducer; the waiting queue was rebuilt at each answer also when empty; a prompt's parts were copied at each send; start_attempt.mayRepeat and entry_core::hasWaiting were read by nobody. Behaviour is unchanged; a test compares the hash with one built another way.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -204,7 +204,6 @@
     std::string account; // empty on public routes
     bool isStream = false;
     bool isResumable = false;
-    bool mayRepeat = false; // false: use a connection that is surely open
     bool isResume = false; // go on after the last event that the caller got
     std::string fetchFrom; // address of an upstream that keeps more of the prompt; empty for none
 };
@@ -274,12 +273,6 @@
         return m_rules != nullptr;
     }
 
-    /// True if a request waits for an upstream, so that ticks should come often.
-    bool hasWaiting() const
-    {
-        return !m_waiting.empty();
-    }
-
     const traffic_rules *rules() const
     {
         return m_rules.get();
--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -120,7 +120,10 @@
     }
 
     /// Equal for equal sets of objects.
-    std::uint64_t contentHash() const;
+    std::uint64_t contentHash() const
+    {
+        return m_contentHash;
+    }
 
     const std::map<std::string, stored_object> &objects() const
     {
@@ -150,6 +153,7 @@
 
     follower_options m_options;
     std::map<std::string, stored_object> m_objects;
+    std::uint64_t m_contentHash = 0; // over names and revisions of m_objects; changed with each of them
     std::vector<stored_object> m_listed; // pages of the list that is being read
     store_revision m_asOf = 0; // m_objects is the state at this revision or later; never falls
     phase m_phase = phase::idle;
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -131,6 +131,7 @@
         bool isStream = false;
         bool isResumable = false;
         http_head answerHead;
+        answer_summary answer; // what answerHead says
         std::string answerBody; // not passed on yet
         bool isOffered = false; // the reducer has heard of this attempt's answer
         bool isRelaying = false; // the answer has begun at the caller
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -199,6 +199,7 @@
         return false;
     }
     work->answerHead = head;
+    work->answer = answer.summary;
     const bool isSuccess = head.status >= 200 && head.status < 300;
     if (work->isStream && isSuccess) {
         offer(id, *work);
@@ -210,7 +211,7 @@
 void serving_core<Codec>::offer(exchange_id id, relay &work)
 {
     work.isOffered = true;
-    post(entry_event::answer_received {id, m_codec.decodeAnswer(work.answerHead).summary});
+    post(entry_event::answer_received {id, work.answer});
 }
 
 template<request_codec Codec>
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -185,9 +185,11 @@
 
 bool entry_core::place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
 {
+    static const prompt_parts noParts;
+    const prompt_parts &parts = work.route->carriesPrompt ? work.request.parts : noParts;
     placement_request wanted;
     wanted.service = work.service;
-    wanted.parts = work.route->carriesPrompt ? &work.request.parts : nullptr;
+    wanted.parts = work.route->carriesPrompt ? &parts : nullptr;
     wanted.tieBreak = hashText(work.request.requestId, work.sends);
     wanted.tried = &work.tried;
     const placement choice = m_upstreams.choose(wanted, *work.rules, now);
@@ -206,8 +208,7 @@
     work.sentAt = now;
     work.awaitsFirst = true;
     work.wasOverdue = false;
-    m_upstreams.start(choice.upstream, work.route->carriesPrompt ? work.request.parts : prompt_parts(), work.request.promptTokens,
-                      work.request.promptTokens + work.request.outputTokens, now);
+    m_upstreams.start(choice.upstream, parts, work.request.promptTokens, work.request.promptTokens + work.request.outputTokens, now);
 
     entry_effect::start_attempt attempt;
     attempt.exchange = id;
@@ -218,7 +219,6 @@
     attempt.account = work.account;
     attempt.isStream = work.route->kind == request_kind::streaming;
     attempt.isResumable = work.route->isResumable;
-    attempt.mayRepeat = work.route->mayRepeat();
     attempt.isResume = work.isResume;
     attempt.fetchFrom = choice.fetchFrom;
     effects.push_back(attempt);
@@ -266,6 +266,9 @@
 
 void entry_core::placeWaiting(time_point now, std::vector<effect> &effects)
 {
+    if (m_waiting.empty()) {
+        return;
+    }
     // The most urgent first, in order of arrival within a priority.
     std::stable_sort(m_waiting.begin(), m_waiting.end(), [this](exchange_id a, exchange_id b) {
         const auto first = m_exchanges.find(a);
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -10,6 +10,17 @@
 namespace nutmegtally
 {
 
+namespace
+{
+
+/// An object's part of the content hash. The parts are joined by exclusive or, so that one can be taken out again.
+std::uint64_t hashOf(const stored_object &object)
+{
+    return mixHash(hashText(object.name), object.revision);
+}
+
+} // namespace
+
 object_follower::object_follower(follower_options options)
     : m_options(std::move(options))
 {
@@ -20,15 +31,6 @@
     std::visit([&](const auto &each) { on(now, each, effects); }, input);
 }
 
-std::uint64_t object_follower::contentHash() const
-{
-    std::uint64_t hash = 0;
-    for (const auto &[name, object] : m_objects) {
-        hash ^= mixHash(hashText(name), object.revision);
-    }
-    return hash;
-}
-
 void object_follower::startList(time_point now, std::vector<effect> &effects)
 {
     m_calledAt = now;
@@ -193,13 +195,18 @@
     if (known.revision >= object.revision) {
         return;
     }
+    m_contentHash ^= known.name.empty() ? 0 : hashOf(known); // empty: the object is new
+    m_contentHash ^= hashOf(object);
     known = object;
     effects.emplace_back(follower_effect::object_changed {object});
 }
 
 void object_follower::remove(time_point now, const std::string &name, std::vector<effect> &effects)
 {
-    m_objects.erase(name);
+    if (const auto known = m_objects.find(name); known != m_objects.end()) {
+        m_contentHash ^= hashOf(known->second);
+        m_objects.erase(known);
+    }
     duration grace {0};
     if (m_failures > 0) {
         grace = m_options.missingGrace; // told by another router while the API is away
--- a/tests/test_object_follower.cpp
+++ b/tests/test_object_follower.cpp
@@ -214,6 +214,18 @@
     BOOST_TEST(effect<follower_effect::wait_for_changes>() != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(contentHash_sameObjectsByAnotherWay_isTheSame)
+{
+    start();
+    at(1s, follower_event::changes_read {{object("a", 12), object("c", 13), deleted("b", 14)}, 14});
+    object_follower other {follower_options {}};
+    effects.clear();
+    other.apply(time_point(0ms), follower_event::snapshot_received {{object("a", 12), object("c", 13)}, 14, "router"}, effects);
+    BOOST_TEST(follower.contentHash() == other.contentHash());
+    at(2s, follower_event::changes_read {{deleted("a", 15), deleted("c", 16)}, 16});
+    BOOST_TEST(follower.contentHash() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(isBehind_equalContentAtANewerRevision_isNot)
 {
     start();
