--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -20,6 +20,7 @@
 struct follower_options {
     std::string kind; // for log lines
     duration wait = std::chrono::seconds(25); // longest time of one wait for changes
+    duration probeWait = std::chrono::seconds(1); // the same at a router that probes the API
     duration pause {0}; // after changes before the next wait, so that one call brings several
     /// How long an object stays usable that was missing when the API came back after an outage.
     duration missingGrace = std::chrono::milliseconds(2200);
@@ -56,6 +57,12 @@
     std::string from;
 };
 
+/// Routers that live, as this one knows them.
+struct routers_changed {
+    std::string self;
+    std::vector<std::string> live; // sorted
+};
+
 struct tick {
 };
 
@@ -88,7 +95,8 @@
 {
 public:
     using event = std::variant<follower_event::page_read, follower_event::changes_read, follower_event::history_lost,
-                               follower_event::call_failed, follower_event::snapshot_received, follower_event::tick>;
+                               follower_event::call_failed, follower_event::snapshot_received, follower_event::routers_changed,
+                               follower_event::tick>;
     using effect = std::variant<follower_effect::read_page, follower_effect::wait_for_changes, follower_effect::object_changed,
                                 follower_effect::object_removed, log_record>;
 
@@ -142,6 +150,7 @@
     void on(time_point now, const follower_event::history_lost &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::routers_changed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::tick &input, std::vector<effect> &effects);
 
     void answered(time_point now, std::vector<effect> &effects);
@@ -160,6 +169,9 @@
     bool m_isComplete = false;
     bool m_mustList = true; // the history since m_asOf is not known to be there
     unsigned m_failures = 0; // calls that failed in a row
+    /// A wait may be lost without a sign, and its router hears of nothing until it ends. Routers that probe notice soon,
+    /// with short waits; the others learn from them.
+    bool m_isProbing = true;
     time_point m_callAt;
     time_point m_failingSince;
     time_point m_calledAt; // start of the running call
--- a/include/nutmegtally/router_news.h
+++ b/include/nutmegtally/router_news.h
@@ -97,6 +97,7 @@
         std::string address;
         std::string loadAddress;
         time_point heardAt;
+        std::optional<time_point> newerSince; // it tells of newer state since then
     };
 
     struct target {
@@ -122,7 +123,6 @@
     std::vector<std::string> m_live; // as last told
     bool m_isAsking = false; // one question at a time: answers may be large and links narrow
     time_point m_nextAsk;
-    std::optional<time_point> m_behindSince; // a router tells of newer state since then
     bool m_toldOnce = false;
 };
 
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -268,6 +268,9 @@
 void entry_daemon::carryOut(const news_effect::routers_changed &changed)
 {
     m_serving.post(entry_event::routers_changed {changed.live});
+    for (std::size_t i = 0; i < followedKinds; ++i) {
+        apply(static_cast<followed>(i), follower_event::routers_changed {m_settings.name, changed.live});
+    }
 }
 
 void entry_daemon::carryOut(const log_record &record)
--- a/src/limits.h
+++ b/src/limits.h
@@ -137,12 +137,13 @@
 inline constexpr duration firstCallPause = 60ms; // after a failed call to the object API; doubles
 inline constexpr duration longestCallPause = 1s; // each call is priced, also a refused one
 inline constexpr duration waitAfterFailure = 300ms; // for changes, until the object API has answered again
+inline constexpr std::size_t probingRouters = 2; // per kind of object; one of them may be down when a wait is lost
 inline constexpr duration outageAfter = 700ms; // of failed calls; a cut connection alone is mended sooner
 inline constexpr duration askInterval = 1s; // between exchanges with other routers
 inline constexpr duration askIntervalAlone = 200ms; // while the object API does not answer, or no router is known
 inline constexpr duration firstAskPause = 1s; // for a router that did not answer; doubles
 inline constexpr duration longestAskPause = 8s;
-inline constexpr duration behindBeforeAsking = 1s; // routers take a change within half a second of each other
+inline constexpr duration behindBeforeAsking = 600ms; // routers take a change within half a second of each other
 inline constexpr duration routerCountedFor = 15s; // since a router was last heard of; shared limits stay divided that long
 
 } // namespace nutmegtally::limits
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -3,6 +3,7 @@
 #include <nutmegtally/ids.h>
 #include <nutmegtally/log_line.h>
 #include <nutmegtally/object_follower.h>
+#include <nutmegtally/router_rank.h>
 
 #include <algorithm>
 #include <unordered_set>
@@ -43,8 +44,11 @@
 {
     m_calledAt = now;
     m_phase = phase::waiting;
-    // A short wait after failures: its answer tells that the API is back.
-    effects.emplace_back(follower_effect::wait_for_changes {m_asOf, m_failures > 0 ? limits::waitAfterFailure : m_options.wait});
+    duration wait = m_isProbing ? m_options.probeWait : m_options.wait;
+    if (m_failures > 0) {
+        wait = limits::waitAfterFailure; // its answer tells that the API is back
+    }
+    effects.emplace_back(follower_effect::wait_for_changes {m_asOf, wait});
 }
 
 void object_follower::answered(time_point now, std::vector<effect> &effects)
@@ -157,6 +161,12 @@
     m_mustList = false;
 }
 
+void object_follower::on(time_point, const follower_event::routers_changed &input, std::vector<effect> &)
+{
+    // By kind, so that one router does not carry all short waits.
+    m_isProbing = isAmongFirst(input.self, input.live, hashText(m_options.kind), limits::probingRouters);
+}
+
 void object_follower::on(time_point now, const follower_event::tick &, std::vector<effect> &effects)
 {
     if (m_phase != phase::idle || now < m_callAt) {
--- a/src/router_news.cpp
+++ b/src/router_news.cpp
@@ -78,16 +78,17 @@
     if (teller == m_routers.end()) {
         return;
     }
-    teller->second.heardAt = std::max(teller->second.heardAt, now);
+    router &known = teller->second;
+    known.heardAt = std::max(known.heardAt, now);
     if (!input.isNewer) {
         // Routers take changes one after the other: only state that stays newer means that this router misses something.
-        m_behindSince.reset();
+        known.newerSince.reset();
         return;
     }
-    m_behindSince = m_behindSince.value_or(now);
-    if (now - *m_behindSince >= limits::behindBeforeAsking) {
-        m_behindSince = now;
-        ask(now, teller->second.address, effects);
+    known.newerSince = known.newerSince.value_or(now);
+    if (now - *known.newerSince >= limits::behindBeforeAsking) {
+        known.newerSince = now;
+        ask(now, known.address, effects);
     }
 }
 
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -1,6 +1,7 @@
 #include "limits.h"
 
 #include <nutmegtally/ids.h>
+#include <nutmegtally/router_rank.h>
 #include <nutmegtally/upstream_set.h>
 
 #include <algorithm>
@@ -255,16 +256,8 @@
         return true;
     }
     // Only a few routers use a cold upstream, each with its part of the rate: many parts would be too small to use.
-    std::vector<std::pair<std::uint64_t, const std::string *>> ranked;
-    for (const std::string &router : m_routers) {
-        ranked.emplace_back(mixHash(hashText(router), upstream.hash), &router);
-    }
-    std::sort(ranked.begin(), ranked.end());
-    const std::size_t sharing = std::min(limits::coldRouters, std::max<std::size_t>(1, ranked.size()));
-    const bool shares = ranked.empty()
-                        || std::any_of(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(sharing),
-                                       [this](const auto &entry) { return *entry.second == m_self; });
-    if (!shares) {
+    const std::size_t sharing = std::min(limits::coldRouters, std::max<std::size_t>(1, m_routers.size()));
+    if (!isAmongFirst(m_self, m_routers, upstream.hash, sharing)) {
         return false;
     }
     const double perSecond = limits::coldRateUsed * rule.coldRequestsPerSecond / static_cast<double>(sharing);
