--- a/programs/agent_daemon.cpp
+++ b/programs/agent/agent_daemon.cpp
@@ -1,8 +1,8 @@
-#include "agent_daemon.h"
+#include "agent/agent_daemon.h"
 
-#include "daemon_clock.h"
-#include "daemon_log.h"
-#include "rpc_channel.h"
+#include "daemon/daemon_clock.h"
+#include "daemon/daemon_log.h"
+#include "rpc/rpc_channel.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/agent_daemon.h
+++ b/programs/agent/agent_daemon.h
@@ -1,16 +1,16 @@
 // nutmegtally-agent: takes work from routers, admits it, runs it on its upstream and streams the answer back.
 #pragma once
 
-#include "agent_ledger.h"
-#include "agent_settings.h"
-#include "agent_stream.h"
-#include "agent_upstream.h"
-#include "daemon_access.h"
-#include "daemon_fleet.h"
-#include "daemon_http.h"
-#include "daemon_metrics.h"
-#include "daemon_status.h"
-#include "daemon_workers.h"
+#include "agent/agent_ledger.h"
+#include "agent/agent_settings.h"
+#include "agent/agent_stream.h"
+#include "agent/agent_upstream.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_fleet.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_metrics.h"
+#include "daemon/daemon_status.h"
+#include "daemon/daemon_workers.h"
 
 #include <nutmegtally/admission.h>
 
--- a/programs/agent_ledger.cpp
+++ b/programs/agent/agent_ledger.cpp
@@ -1,7 +1,7 @@
-#include "agent_ledger.h"
+#include "agent/agent_ledger.h"
 
-#include "daemon_clock.h"
-#include "daemon_log.h"
+#include "daemon/daemon_clock.h"
+#include "daemon/daemon_log.h"
 
 #include <nutmegtally/reducer.h>
 
--- a/programs/agent_ledger.h
+++ b/programs/agent/agent_ledger.h
@@ -1,9 +1,9 @@
 // Runs ledger_core in an agent of a plain service: its timer and its calls to the object API.
 #pragma once
 
-#include "daemon_fleet_driver.h"
-#include "daemon_objects.h"
-#include "daemon_workers.h"
+#include "daemon/daemon_fleet_driver.h"
+#include "daemon/daemon_objects.h"
+#include "daemon/daemon_workers.h"
 
 #include <nutmegtally/ledger.h>
 
--- a/programs/agent_main.cpp
+++ b/programs/agent/agent_main.cpp
@@ -1,6 +1,6 @@
 // nutmegtally-agent: the process beside each upstream.
-#include "agent_daemon.h"
-#include "daemon_main.h"
+#include "agent/agent_daemon.h"
+#include "daemon/daemon_main.h"
 
 namespace
 {
--- a/programs/agent_settings.cpp
+++ b/programs/agent/agent_settings.cpp
@@ -1,7 +1,7 @@
-#include "agent_settings.h"
+#include "agent/agent_settings.h"
 
-#include "daemon_options.h"
-#include "daemon_schemas.h"
+#include "daemon/daemon_options.h"
+#include "daemon/daemon_schemas.h"
 
 namespace nutmegtally
 {
--- a/programs/agent_settings.h
+++ b/programs/agent/agent_settings.h
@@ -1,9 +1,9 @@
 // Settings of nutmegtally-agent. docs/settings.md describes every member.
 #pragma once
 
-#include "agent_upstream.h"
-#include "daemon_http.h"
-#include "daemon_platform.h"
+#include "agent/agent_upstream.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_platform.h"
 
 #include <nutmegtally/admission.h>
 #include <nutmegtally/work.h>
--- a/programs/agent_stream.cpp
+++ b/programs/agent/agent_stream.cpp
@@ -1,6 +1,6 @@
-#include "agent_stream.h"
+#include "agent/agent_stream.h"
 
-#include "daemon_clock.h"
+#include "daemon/daemon_clock.h"
 
 #include <Poco/Exception.h>
 
--- a/programs/agent_stream.h
+++ b/programs/agent/agent_stream.h
@@ -3,8 +3,8 @@
 // resume over a new connection.
 #pragma once
 
-#include "daemon_http.h"
-#include "daemon_records.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_records.h"
 
 #include <nutmegtally/time.h>
 #include <nutmegtally/work.h>
--- a/programs/agent_upstream.cpp
+++ b/programs/agent/agent_upstream.cpp
@@ -1,6 +1,6 @@
-#include "agent_upstream.h"
+#include "agent/agent_upstream.h"
 
-#include "daemon_log.h"
+#include "daemon/daemon_log.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
--- a/programs/agent_upstream.h
+++ b/programs/agent/agent_upstream.h
@@ -2,8 +2,8 @@
 // cancellation and load reports.
 #pragma once
 
-#include "agent_stream.h"
-#include "daemon_http.h"
+#include "agent/agent_stream.h"
+#include "daemon/daemon_http.h"
 
 #include <nutmegtally/time.h>
 
--- a/programs/bench_bookings.cpp
+++ b/programs/bench/bench_bookings.cpp
@@ -1,7 +1,7 @@
 // nutmegtally-bench bookings: platform calls per booking and added delay of the ledger at several rates, in virtual
 // time with the real ledger cores, a platform that answers after a fixed time and a service that takes a fixed time.
-#include "bench_command.h"
-#include "sim_queue.h"
+#include "bench/bench_command.h"
+#include "simulation/sim_queue.h"
 
 #include <nutmegtally/ledger.h>
 
--- a/programs/bench_capacity.cpp
+++ b/programs/bench/bench_capacity.cpp
@@ -1,7 +1,7 @@
 // Benchmark "capacity": memory and processor slopes of each role's state at several sizes, and the figures that they
 // give at the planned size. docs/CAPACITY.md quotes its output.
-#include "bench_command.h"
-#include "daemon_fleet_simulation.h"
+#include "bench/bench_command.h"
+#include "daemon/daemon_fleet_simulation.h"
 
 #include <nutmegtally/admission.h>
 #include <nutmegtally/ledger.h>
--- a/programs/bench_convergence.cpp
+++ b/programs/bench/bench_convergence.cpp
@@ -1,6 +1,6 @@
 // Benchmark "convergence": the real fleet reducers in virtual time, with each way to spread a change side by side.
-#include "bench_command.h"
-#include "daemon_fleet_simulation.h"
+#include "bench/bench_command.h"
+#include "daemon/daemon_fleet_simulation.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/programs/bench_decision.cpp
+++ b/programs/bench/bench_decision.cpp
@@ -1,5 +1,5 @@
 // nutmegtally-bench decision: cost of one routing decision and memory per engine, by the number of engines in a pool.
-#include "bench_command.h"
+#include "bench/bench_command.h"
 
 #include <nutmegtally/router_core.h>
 
--- a/programs/bench_main.cpp
+++ b/programs/bench/bench_main.cpp
@@ -1,5 +1,5 @@
 // nutmegtally-bench: measurements in virtual time and on loopback. Each subcommand prints a table or JSON.
-#include "bench_command.h"
+#include "bench/bench_command.h"
 
 #include <algorithm>
 #include <exception>
--- a/programs/bench_overhead.cpp
+++ b/programs/bench/bench_overhead.cpp
@@ -1,6 +1,6 @@
 // nutmegtally-bench overhead: what router and agent add to a streamed answer, compared with the engine asked directly.
 // The processes run already; scripts/bench_overhead starts them.
-#include "bench_command.h"
+#include "bench/bench_command.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/programs/bench_policy.cpp
+++ b/programs/bench/bench_policy.cpp
@@ -1,6 +1,6 @@
 // nutmegtally-bench policy: compares the placement policies in virtual time. The same seeds give the same bytes.
-#include "bench_command.h"
-#include "sim_load.h"
+#include "bench/bench_command.h"
+#include "simulation/sim_load.h"
 
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
--- a/programs/bench_scenario.cpp
+++ b/programs/bench/bench_scenario.cpp
@@ -1,6 +1,6 @@
 // nutmegtally-bench scenario: runs scenario files in virtual time and prints each expectation with what was measured.
-#include "bench_command.h"
-#include "sim_scenario.h"
+#include "bench/bench_command.h"
+#include "simulation/sim_scenario.h"
 
 #include <tclap/CmdLine.h>
 
--- a/programs/ctl_access.cpp
+++ b/programs/ctl/ctl_access.cpp
@@ -1,5 +1,5 @@
 // Subcommands "account" and "operator". A new key or token is printed once; only its hash is stored.
-#include "ctl_context.h"
+#include "ctl/ctl_context.h"
 
 namespace nutmegtally
 {
--- a/programs/ctl_config.cpp
+++ b/programs/ctl/ctl_config.cpp
@@ -1,6 +1,6 @@
 // Subcommands "config" and "audit".
-#include "ctl_context.h"
-#include "daemon_settings.h"
+#include "ctl/ctl_context.h"
+#include "daemon/daemon_settings.h"
 
 #include <limits>
 
--- a/programs/ctl_context.cpp
+++ b/programs/ctl/ctl_context.cpp
@@ -1,8 +1,8 @@
-#include "ctl_context.h"
+#include "ctl/ctl_context.h"
 
-#include "daemon_access.h"
-#include "daemon_settings.h"
-#include "rpc_channel.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_settings.h"
+#include "rpc/rpc_channel.h"
 
 #include <nutmegtally/dissemination.h>
 #include <nutmegtally/errors.h>
--- a/programs/ctl_context.h
+++ b/programs/ctl/ctl_context.h
@@ -1,8 +1,8 @@
 // What the subcommands of nutmegtallyctl share: settings, the platform's clients, access, output and changes.
 #pragma once
 
-#include "daemon_objects.h"
-#include "daemon_operators.h"
+#include "daemon/daemon_objects.h"
+#include "daemon/daemon_operators.h"
 
 #include <nutmegtally/config_log.h>
 #include <nutmegtally/membership.h>
--- a/programs/ctl_explain.cpp
+++ b/programs/ctl/ctl_explain.cpp
@@ -1,5 +1,5 @@
 // Subcommand "explain": the story of a request from the logs of entry routers. Reads files only: no settings, no platform.
-#include "ctl_context.h"
+#include "ctl/ctl_context.h"
 #include "entry/log_story.h"
 
 #include <fstream>
--- a/programs/ctl_fleet.cpp
+++ b/programs/ctl/ctl_fleet.cpp
@@ -1,5 +1,5 @@
 // Subcommands "class", "domain" and "status".
-#include "ctl_context.h"
+#include "ctl/ctl_context.h"
 
 #include <algorithm>
 #include <set>
--- a/programs/ctl_ledger.cpp
+++ b/programs/ctl/ctl_ledger.cpp
@@ -1,6 +1,6 @@
 // Subcommand "ledger": bookings whose outcome is unknown.
-#include "ctl_context.h"
-#include "daemon_settle.h"
+#include "ctl/ctl_context.h"
+#include "daemon/daemon_settle.h"
 
 #include <nutmegtally/errors.h>
 #include <nutmegtally/ids.h>
--- a/programs/ctl_main.cpp
+++ b/programs/ctl/ctl_main.cpp
@@ -1,5 +1,5 @@
 // nutmegtallyctl: configuration, accounts, failure domains, status, audit and ledger for operators.
-#include "ctl_context.h"
+#include "ctl/ctl_context.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/daemon_access.cpp
+++ b/programs/daemon/daemon_access.cpp
@@ -1,6 +1,6 @@
-#include "daemon_access.h"
+#include "daemon/daemon_access.h"
 
-#include "daemon_log.h"
+#include "daemon/daemon_log.h"
 
 #include <nutmegtally/errors.h>
 #include <nutmegtally/ids.h>
--- a/programs/daemon_fleet.cpp
+++ b/programs/daemon/daemon_fleet.cpp
@@ -1,6 +1,6 @@
-#include "daemon_fleet.h"
+#include "daemon/daemon_fleet.h"
 
-#include "daemon_settings.h"
+#include "daemon/daemon_settings.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/daemon_fleet_driver.cpp
+++ b/programs/daemon/daemon_fleet_driver.cpp
@@ -1,7 +1,7 @@
-#include "daemon_fleet_driver.h"
+#include "daemon/daemon_fleet_driver.h"
 
-#include "daemon_clock.h"
-#include "daemon_log.h"
+#include "daemon/daemon_clock.h"
+#include "daemon/daemon_log.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/daemon_fleet_driver.h
+++ b/programs/daemon/daemon_fleet_driver.h
@@ -1,10 +1,10 @@
 // Runs fleet_core in a daemon: its timers, the platform's clients and the JSON-RPC calls to peers.
 #pragma once
 
-#include "daemon_access.h"
-#include "daemon_fleet.h"
-#include "daemon_objects.h"
-#include "rpc_channel.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_fleet.h"
+#include "daemon/daemon_objects.h"
+#include "rpc/rpc_channel.h"
 
 #include <nutmegtally/fleet_core.h>
 
--- a/programs/daemon_fleet_simulation.cpp
+++ b/programs/daemon/daemon_fleet_simulation.cpp
@@ -1,4 +1,4 @@
-#include "daemon_fleet_simulation.h"
+#include "daemon/daemon_fleet_simulation.h"
 
 #include <nlohmann/json.hpp>
 
--- a/programs/daemon_http.cpp
+++ b/programs/daemon/daemon_http.cpp
@@ -1,5 +1,5 @@
 // HTTP server and client connections of the daemons.
-#include "daemon_http.h"
+#include "daemon/daemon_http.h"
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
--- a/programs/daemon_log.cpp
+++ b/programs/daemon/daemon_log.cpp
@@ -1,4 +1,4 @@
-#include "daemon_log.h"
+#include "daemon/daemon_log.h"
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
--- a/programs/daemon_main.cpp
+++ b/programs/daemon/daemon_main.cpp
@@ -1,7 +1,7 @@
-#include "daemon_main.h"
+#include "daemon/daemon_main.h"
 
-#include "daemon_log.h"
-#include "daemon_settings.h"
+#include "daemon/daemon_log.h"
+#include "daemon/daemon_settings.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/daemon_metrics.cpp
+++ b/programs/daemon/daemon_metrics.cpp
@@ -1,4 +1,4 @@
-#include "daemon_metrics.h"
+#include "daemon/daemon_metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/programs/daemon_objects.cpp
+++ b/programs/daemon/daemon_objects.cpp
@@ -1,4 +1,4 @@
-#include "daemon_objects.h"
+#include "daemon/daemon_objects.h"
 
 #include "../src/limits.h"
 
--- a/programs/daemon_objects.h
+++ b/programs/daemon/daemon_objects.h
@@ -1,7 +1,7 @@
 // Clients of the platform: the object API and the VM list, over HTTP with persistent connections.
 #pragma once
 
-#include "rpc_http.h"
+#include "rpc/rpc_http.h"
 
 #include <nutmegtally/objects.h>
 #include <nutmegtally/time.h>
--- a/programs/daemon_operators.cpp
+++ b/programs/daemon/daemon_operators.cpp
@@ -1,6 +1,6 @@
-#include "daemon_operators.h"
+#include "daemon/daemon_operators.h"
 
-#include "daemon_log.h"
+#include "daemon/daemon_log.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/daemon_options.cpp
+++ b/programs/daemon/daemon_options.cpp
@@ -1,4 +1,4 @@
-#include "daemon_options.h"
+#include "daemon/daemon_options.h"
 
 namespace nutmegtally
 {
--- a/programs/daemon_options.h
+++ b/programs/daemon/daemon_options.h
@@ -1,7 +1,7 @@
 // Readers of the settings members that several programs share. The document has passed its schema.
 #pragma once
 
-#include "daemon_http.h"
+#include "daemon/daemon_http.h"
 
 #include <nlohmann/json.hpp>
 
--- a/programs/daemon_platform.cpp
+++ b/programs/daemon/daemon_platform.cpp
@@ -1,8 +1,8 @@
-#include "daemon_platform.h"
+#include "daemon/daemon_platform.h"
 
-#include "daemon_access.h"
-#include "daemon_fleet_driver.h"
-#include "daemon_options.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_fleet_driver.h"
+#include "daemon/daemon_options.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/daemon_platform.h
+++ b/programs/daemon/daemon_platform.h
@@ -2,7 +2,7 @@
 // configuration file.
 #pragma once
 
-#include "daemon_fleet.h"
+#include "daemon/daemon_fleet.h"
 
 #include <nutmegtally/membership.h>
 
--- a/programs/daemon_records.cpp
+++ b/programs/daemon/daemon_records.cpp
@@ -1,5 +1,5 @@
 // JSON forms of the work header and the stream records.
-#include "daemon_records.h"
+#include "daemon/daemon_records.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
--- a/programs/daemon_settings.cpp
+++ b/programs/daemon/daemon_settings.cpp
@@ -1,4 +1,4 @@
-#include "daemon_settings.h"
+#include "daemon/daemon_settings.h"
 
 #if defined(__GNUC__) && !defined(__clang__)
 // g++ 12 at -O3 reports a false overlap inside valijson's json_pointer.hpp, inlined below.
--- a/programs/daemon_settle.cpp
+++ b/programs/daemon/daemon_settle.cpp
@@ -1,4 +1,4 @@
-#include "daemon_settle.h"
+#include "daemon/daemon_settle.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/daemon_status.cpp
+++ b/programs/daemon/daemon_status.cpp
@@ -1,4 +1,4 @@
-#include "daemon_status.h"
+#include "daemon/daemon_status.h"
 
 namespace nutmegtally
 {
--- a/programs/daemon_status.h
+++ b/programs/daemon/daemon_status.h
@@ -1,8 +1,8 @@
 // Status listener of a daemon: /healthz, /readyz and /metrics.
 #pragma once
 
-#include "daemon_http.h"
-#include "daemon_metrics.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_metrics.h"
 
 #include <functional>
 #include <string>
--- a/programs/daemon_workers.cpp
+++ b/programs/daemon/daemon_workers.cpp
@@ -1,4 +1,4 @@
-#include "daemon_workers.h"
+#include "daemon/daemon_workers.h"
 
 namespace nutmegtally
 {
--- a/programs/entry/entry_main.cpp
+++ b/programs/entry/entry_main.cpp
@@ -1,6 +1,6 @@
 // nutmegtally-entry: the process on each entry VM of a platform whose upstreams have no agent beside them.
-#include "daemon_main.h"
-#include "daemon_settings.h"
+#include "daemon/daemon_main.h"
+#include "daemon/daemon_settings.h"
 #include "entry/entry_daemon.h"
 #include "platform/names.h"
 
--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -1,7 +1,7 @@
 // Metrics of nutmegtally-entry. docs/metrics.md lists them.
 #pragma once
 
-#include "daemon_metrics.h"
+#include "daemon/daemon_metrics.h"
 
 #include <nutmegtally/entry_core.h>
 
--- a/programs/router_answer.cpp
+++ b/programs/router/router_answer.cpp
@@ -1,4 +1,4 @@
-#include "router_answer.h"
+#include "router/router_answer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/programs/router_answer.h
+++ b/programs/router/router_answer.h
@@ -1,8 +1,8 @@
 // Answer to one caller: server-sent events for a streamed chat, a whole body otherwise.
 #pragma once
 
-#include "daemon_http.h"
-#include "daemon_records.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_records.h"
 
 #include <nutmegtally/errors.h>
 
--- a/programs/router_attempt.cpp
+++ b/programs/router/router_attempt.cpp
@@ -1,7 +1,7 @@
-#include "router_attempt.h"
+#include "router/router_attempt.h"
 
-#include "daemon_clock.h"
-#include "daemon_log.h"
+#include "daemon/daemon_clock.h"
+#include "daemon/daemon_log.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
--- a/programs/router_attempt.h
+++ b/programs/router/router_attempt.h
@@ -2,10 +2,10 @@
 // connection at the point that was reached.
 #pragma once
 
-#include "daemon_access.h"
-#include "daemon_http.h"
-#include "daemon_records.h"
-#include "router_answer.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_records.h"
+#include "router/router_answer.h"
 
 #include <nutmegtally/work.h>
 
--- a/programs/router_daemon.h
+++ b/programs/router/router_daemon.h
@@ -1,16 +1,16 @@
 // nutmegtally-router: takes callers' requests, lets the router core choose an upstream, and streams the answer back.
 #pragma once
 
-#include "daemon_access.h"
-#include "daemon_fleet.h"
-#include "daemon_http.h"
-#include "daemon_metrics.h"
-#include "daemon_status.h"
-#include "daemon_workers.h"
-#include "router_answer.h"
-#include "router_attempt.h"
-#include "router_request.h"
-#include "router_settings.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_fleet.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_metrics.h"
+#include "daemon/daemon_status.h"
+#include "daemon/daemon_workers.h"
+#include "router/router_answer.h"
+#include "router/router_attempt.h"
+#include "router/router_request.h"
+#include "router/router_settings.h"
 
 #include <nutmegtally/router_core.h>
 
--- a/programs/router_main.cpp
+++ b/programs/router/router_main.cpp
@@ -1,6 +1,6 @@
 // nutmegtally-router: the process on each entry VM.
-#include "daemon_main.h"
-#include "router_daemon.h"
+#include "daemon/daemon_main.h"
+#include "router/router_daemon.h"
 
 namespace
 {
--- a/programs/router_request.cpp
+++ b/programs/router/router_request.cpp
@@ -1,6 +1,6 @@
-#include "router_request.h"
+#include "router/router_request.h"
 
-#include "daemon_clock.h"
+#include "daemon/daemon_clock.h"
 
 #include <nlohmann/json.hpp>
 
--- a/programs/router_request.h
+++ b/programs/router/router_request.h
@@ -1,9 +1,9 @@
 // Reads what a caller asks for, and checks it against the configuration.
 #pragma once
 
-#include "daemon_access.h"
-#include "daemon_http.h"
-#include "daemon_records.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_records.h"
 
 #include <nutmegtally/fleet_config.h>
 #include <nutmegtally/work.h>
--- a/programs/router_settings.cpp
+++ b/programs/router/router_settings.cpp
@@ -1,8 +1,8 @@
-#include "router_settings.h"
+#include "router/router_settings.h"
 
-#include "daemon_access.h"
-#include "daemon_options.h"
-#include "daemon_schemas.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_options.h"
+#include "daemon/daemon_schemas.h"
 
 namespace nutmegtally
 {
--- a/programs/router_settings.h
+++ b/programs/router/router_settings.h
@@ -1,8 +1,8 @@
 // Settings of nutmegtally-router. docs/settings.md describes every member.
 #pragma once
 
-#include "daemon_http.h"
-#include "daemon_platform.h"
+#include "daemon/daemon_http.h"
+#include "daemon/daemon_platform.h"
 
 #include <nutmegtally/router_core.h>
 #include <nutmegtally/work.h>
--- a/programs/rpc_channel.cpp
+++ b/programs/rpc/rpc_channel.cpp
@@ -1,4 +1,4 @@
-#include "rpc_channel.h"
+#include "rpc/rpc_channel.h"
 
 #include <jsonrpccpp/client.h>
 #include <jsonrpccpp/server.h>
--- a/programs/rpc_channel.h
+++ b/programs/rpc/rpc_channel.h
@@ -2,7 +2,7 @@
 // libjsonrpccpp; this header has none of its types and compiles as C++14 and C++20.
 #pragma once
 
-#include "rpc_http.h"
+#include "rpc/rpc_http.h"
 
 #include <cstdint>
 #include <functional>
--- a/programs/rpc_http.cpp
+++ b/programs/rpc/rpc_http.cpp
@@ -1,4 +1,4 @@
-#include "rpc_http.h"
+#include "rpc/rpc_http.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/programs/sim_engine.cpp
+++ b/programs/simulation/sim_engine.cpp
@@ -1,4 +1,4 @@
-#include "sim_engine.h"
+#include "simulation/sim_engine.h"
 
 #include <algorithm>
 
--- a/programs/sim_engine.h
+++ b/programs/simulation/sim_engine.h
@@ -2,7 +2,7 @@
 // least-recently-used eviction, and a cold start during which it is slow and fails under load.
 #pragma once
 
-#include "sim_queue.h"
+#include "simulation/sim_queue.h"
 
 #include <nutmegtally/work.h>
 
--- a/programs/sim_fleet.cpp
+++ b/programs/simulation/sim_fleet.cpp
@@ -1,4 +1,4 @@
-#include "sim_fleet.h"
+#include "simulation/sim_fleet.h"
 
 #include <algorithm>
 #include <stdexcept>
--- a/programs/sim_fleet.h
+++ b/programs/simulation/sim_fleet.h
@@ -3,8 +3,8 @@
 // membership and configuration reach each process by a drawn delay, without dissemination.
 #pragma once
 
-#include "sim_engine.h"
-#include "sim_queue.h"
+#include "simulation/sim_engine.h"
+#include "simulation/sim_queue.h"
 
 #include <nutmegtally/admission.h>
 #include <nutmegtally/router_core.h>
--- a/programs/sim_load.cpp
+++ b/programs/simulation/sim_load.cpp
@@ -1,4 +1,4 @@
-#include "sim_load.h"
+#include "simulation/sim_load.h"
 
 #include <algorithm>
 #include <array>
--- a/programs/sim_load.h
+++ b/programs/simulation/sim_load.h
@@ -2,7 +2,7 @@
 // are large and one may surge. Arrivals are open-loop, so that an overloaded fleet does not slow its own load down.
 #pragma once
 
-#include "sim_fleet.h"
+#include "simulation/sim_fleet.h"
 
 #include <nutmegtally/fleet_config.h>
 
--- a/programs/sim_scenario_control.cpp
+++ b/programs/simulation/sim_scenario_control.cpp
@@ -1,6 +1,6 @@
 // Scenario driver "control": configuration and membership over fleet_simulation.
-#include "daemon_fleet_simulation.h"
-#include "sim_scenario_worlds.h"
+#include "daemon/daemon_fleet_simulation.h"
+#include "simulation/sim_scenario_worlds.h"
 
 #include <nlohmann/json.hpp>
 
--- a/programs/sim_scenario_ledger.cpp
+++ b/programs/simulation/sim_scenario_ledger.cpp
@@ -1,8 +1,8 @@
 // Scenario driver "ledger": owners of one service's shards over a fake object API and a fake service. Callers repeat a
 // booking with the same key until they get an outcome, as the caller protocol wants.
-#include "daemon_fleet_simulation.h"
-#include "sim_queue.h"
-#include "sim_scenario_worlds.h"
+#include "daemon/daemon_fleet_simulation.h"
+#include "simulation/sim_queue.h"
+#include "simulation/sim_scenario_worlds.h"
 
 #include <nutmegtally/ledger.h>
 #include <nutmegtally/placement.h>
--- a/programs/sim_scenario_run.cpp
+++ b/programs/simulation/sim_scenario_run.cpp
@@ -1,4 +1,4 @@
-#include "sim_scenario.h"
+#include "simulation/sim_scenario.h"
 
 #include <algorithm>
 #include <cctype>
--- a/programs/sim_scenario_serving.cpp
+++ b/programs/simulation/sim_scenario_serving.cpp
@@ -1,6 +1,6 @@
 // Scenario driver "serving": routers and agents over sim_fleet.
-#include "sim_fleet.h"
-#include "sim_scenario_worlds.h"
+#include "simulation/sim_fleet.h"
+#include "simulation/sim_scenario_worlds.h"
 
 #include <algorithm>
 #include <map>
--- a/programs/sim_scenario_worlds.cpp
+++ b/programs/simulation/sim_scenario_worlds.cpp
@@ -1,4 +1,4 @@
-#include "sim_scenario_worlds.h"
+#include "simulation/sim_scenario_worlds.h"
 
 namespace nutmegtally
 {
--- a/programs/sim_scenario_worlds.h
+++ b/programs/simulation/sim_scenario_worlds.h
@@ -1,7 +1,7 @@
 // The drivers that scenarios run on.
 #pragma once
 
-#include "sim_scenario.h"
+#include "simulation/sim_scenario.h"
 
 #include <memory>
 
--- a/programs/standin_engine.cpp
+++ b/programs/standin/standin_engine.cpp
@@ -1,6 +1,6 @@
 // Stand-in of a model engine: the usual chat protocol over the time model, cancel, resume, load, cache events, orders.
-#include "standin_command.h"
-#include "standin_engine_model.h"
+#include "standin/standin_command.h"
+#include "standin/standin_engine_model.h"
 
 #include <nutmegtally/ids.h>
 
--- a/programs/standin_engine_model.cpp
+++ b/programs/standin/standin_engine_model.cpp
@@ -1,4 +1,4 @@
-#include "standin_engine_model.h"
+#include "standin/standin_engine_model.h"
 
 #include <algorithm>
 
--- a/programs/standin_engine_model.h
+++ b/programs/standin/standin_engine_model.h
@@ -1,7 +1,7 @@
 // Time and cache model of the stand-in engine: continuous batching, a limited prefix cache, cold starts.
 #pragma once
 
-#include "standin_http.h"
+#include "standin/standin_http.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/programs/standin_http.cpp
+++ b/programs/standin/standin_http.cpp
@@ -1,4 +1,4 @@
-#include "standin_http.h"
+#include "standin/standin_http.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/programs/standin_main.cpp
+++ b/programs/standin/standin_main.cpp
@@ -1,5 +1,5 @@
 // nutmegtally-standin: small fakes of the outside systems that the daemons talk to, for tests and measurements.
-#include "standin_command.h"
+#include "standin/standin_command.h"
 
 #include <Poco/Exception.h>
 #include <tclap/ArgException.h>
--- a/programs/standin_objects.cpp
+++ b/programs/standin/standin_objects.cpp
@@ -1,6 +1,6 @@
 // Stand-in of the platform's object API: versions, conditional updates, watches and lists.
-#include "standin_command.h"
-#include "standin_http.h"
+#include "standin/standin_command.h"
+#include "standin/standin_http.h"
 
 #include <tclap/CmdLine.h>
 
--- a/programs/standin_service.cpp
+++ b/programs/standin/standin_service.cpp
@@ -1,6 +1,6 @@
 // Stand-in of a plain service: reads are idempotent, every other call runs once per request that arrives.
-#include "standin_command.h"
-#include "standin_http.h"
+#include "standin/standin_command.h"
+#include "standin/standin_http.h"
 
 #include <tclap/CmdLine.h>
 
--- a/programs/standin_vms.cpp
+++ b/programs/standin/standin_vms.cpp
@@ -1,6 +1,6 @@
 // Stand-in of the platform's list of live and leaving VMs, which is updated with a delay.
-#include "standin_command.h"
-#include "standin_http.h"
+#include "standin/standin_command.h"
+#include "standin/standin_http.h"
 
 #include <tclap/CmdLine.h>
 
--- a/tests/daemon_fixture.h
+++ b/tests/daemon_fixture.h
@@ -1,9 +1,9 @@
 // In-process fleet for the daemon tests: a scripted engine, an agent and a router on ports that the kernel chooses.
 #pragma once
 
-#include "programs/agent_daemon.h"
-#include "programs/daemon_log.h"
-#include "programs/router_daemon.h"
+#include "agent/agent_daemon.h"
+#include "daemon/daemon_log.h"
+#include "router/router_daemon.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
--- a/tests/test_config_log.cpp
+++ b/tests/test_config_log.cpp
@@ -1,6 +1,6 @@
 // Guards against a change that is reported as lost although it was accepted, against two racing changes that are both
 // accepted, and against audit records that are missing after a roll.
-#include "daemon_fleet_simulation.h"
+#include "daemon/daemon_fleet_simulation.h"
 
 #include <nutmegtally/config_log.h>
 
--- a/tests/test_daemon_buffers.cpp
+++ b/tests/test_daemon_buffers.cpp
@@ -1,6 +1,6 @@
 // Guards against buffers that grow without bound, records that change on their way, and a resume at the wrong place.
-#include "programs/agent_stream.h"
-#include "programs/daemon_records.h"
+#include "agent/agent_stream.h"
+#include "daemon/daemon_records.h"
 
 #include <nutmegtally/errors.h>
 
--- a/tests/test_daemon_fleet.cpp
+++ b/tests/test_daemon_fleet.cpp
@@ -1,8 +1,8 @@
 // Guards against inner calls that are accepted without a valid tag, and against a driver that does not carry the
 // configuration from the platform through one process to another.
-#include "daemon_fleet_driver.h"
-#include "daemon_fleet_simulation.h"
-#include "daemon_http.h"
+#include "daemon/daemon_fleet_driver.h"
+#include "daemon/daemon_fleet_simulation.h"
+#include "daemon/daemon_http.h"
 
 #include <nutmegtally/errors.h>
 
--- a/tests/test_daemon_objects.cpp
+++ b/tests/test_daemon_objects.cpp
@@ -1,6 +1,6 @@
 // Guards against a write whose answer was lost being reported as not written, against a silent watch that blocks its
 // reader for ever, and against losing VMs because the list cannot be read.
-#include "daemon_objects.h"
+#include "daemon/daemon_objects.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/tests/test_daemon_operators.cpp
+++ b/tests/test_daemon_operators.cpp
@@ -1,6 +1,6 @@
 // Guards against an operator who acts without a known token or beyond its role, and against stored secrets.
-#include "daemon_access.h"
-#include "daemon_operators.h"
+#include "daemon/daemon_access.h"
+#include "daemon/daemon_operators.h"
 
 #include <nutmegtally/errors.h>
 
--- a/tests/test_daemon_settings.cpp
+++ b/tests/test_daemon_settings.cpp
@@ -1,11 +1,11 @@
 // Guards against settings with faults that start a daemon anyway, against faults that are reported one at a time, and
 // against examples that do not match the schemas.
-#include "programs/agent_settings.h"
-#include "programs/daemon_fleet.h"
-#include "programs/daemon_log.h"
-#include "programs/daemon_main.h"
-#include "programs/daemon_settings.h"
-#include "programs/router_settings.h"
+#include "agent/agent_settings.h"
+#include "daemon/daemon_fleet.h"
+#include "daemon/daemon_log.h"
+#include "daemon/daemon_main.h"
+#include "daemon/daemon_settings.h"
+#include "router/router_settings.h"
 
 #include <nutmegtally/errors.h>
 
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -1,6 +1,6 @@
 // Guards against a configuration that reverts or does not arrive within 3 s of reachability, and against upstreams
 // that are lost because the VM list is wrong. Runs the real reducers in virtual time.
-#include "daemon_fleet_simulation.h"
+#include "daemon/daemon_fleet_simulation.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/test_scenario_language.cpp
+++ b/tests/test_scenario_language.cpp
@@ -1,5 +1,5 @@
 // Guards against scenario files that are misread, and against faults in them that are found late or without a place.
-#include "sim_scenario.h"
+#include "simulation/sim_scenario.h"
 
 #include <boost/test/unit_test.hpp>
 
