--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -22,8 +22,9 @@
     duration wait = std::chrono::seconds(25); // longest time of one wait for changes
     duration probeWait = std::chrono::seconds(1); // the same at a router that probes the API
     duration pause {0}; // after changes before the next wait, so that one call brings several
-    /// How long an object stays usable that was missing when the API came back after an outage.
-    duration missingGrace = std::chrono::milliseconds(2200);
+    /// How long an object stays usable that is missing after an outage, from the last failed call on: entries that lapsed are
+    /// back two seconds after the API, which came back up to a call's pause later. Drains bind again after three seconds.
+    duration missingGrace = std::chrono::milliseconds(2800);
 };
 
 namespace follower_event
@@ -175,7 +176,8 @@
     time_point m_callAt;
     time_point m_failingSince;
     time_point m_calledAt; // start of the running call
-    std::optional<time_point> m_regainedAt; // start of the first call after an outage that was answered
+    time_point m_lastFailedAt; // start of the last failed call; the API may be back since then
+    bool m_hadOutage = false; // before the last answer
 };
 
 } // namespace nutmegtally
--- a/programs/agent/agent_daemon.cpp
+++ b/programs/agent/agent_daemon.cpp
@@ -8,8 +8,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
-#include <vector>
+#include <utility>
 
 namespace nutmegtally
 {
@@ -19,6 +20,7 @@
 
 constexpr duration tickInterval = std::chrono::milliseconds(100);
 constexpr duration platformRetryAfter = std::chrono::seconds(2);
+constexpr duration firstLoadLimit = std::chrono::seconds(1); // for the upstream's incarnation, before the first work
 constexpr std::string_view cancelPrefix = "/inner/v1/work/";
 
 std::string describe(attempt_ref attempt)
@@ -28,40 +30,10 @@
 
 } // namespace
 
-class agent_daemon::attachment
-{
-public:
-    attachment(agent_daemon &daemon, agent_stream &stream, std::uint64_t generation)
-        : m_daemon(daemon)
-        , m_stream(stream)
-        , m_generation(generation)
-    {
-        const std::lock_guard lock(m_daemon.m_streamsMutex);
-        ++m_daemon.m_senders;
-    }
-
-    ~attachment()
-    {
-        m_stream.detach(m_generation, steadyNow());
-        const std::lock_guard lock(m_daemon.m_streamsMutex);
-        --m_daemon.m_senders;
-        m_daemon.m_streamsChanged.notify_all();
-    }
-
-    attachment(const attachment &) = delete;
-    attachment &operator=(const attachment &) = delete;
-
-private:
-    agent_daemon &m_daemon;
-    agent_stream &m_stream;
-    std::uint64_t m_generation;
-};
-
 agent_daemon::agent_daemon(agent_settings settings, std::unique_ptr<fleet_source> fleet)
     : m_settings(std::move(settings))
     , m_fleet(std::move(fleet))
     , m_authenticator(m_settings.innerKeys)
-    , m_upstream(m_settings.upstream)
     , m_offered(m_metrics.counter("nutmegtally_agent_work_offered_total", "Attempts that routers offered."))
     , m_refused(m_metrics.counter("nutmegtally_agent_work_refused_total", "Attempts that were refused as not run."))
     , m_started(m_metrics.counter("nutmegtally_agent_work_started_total", "Attempts that were sent to the upstream."))
@@ -72,145 +44,139 @@
     , m_running(m_metrics.gauge("nutmegtally_agent_running", "Attempts at the upstream."))
     , m_queued(m_metrics.gauge("nutmegtally_agent_queued", "Attempts that wait in the queue."))
     , m_window(m_metrics.gauge("nutmegtally_agent_window", "Attempts that the upstream may run at once."))
+    , m_loop([](const std::exception &fault) { logEvent(log_event::internalFault, fault.what()); })
+    , m_upstream(m_loop.context(), m_settings.upstream)
     , m_core(m_settings.admission)
-{
-    m_fleet->start(
-        {[this](const fleet_config_ptr &config) { configChanged(config); }, [this](const upstream_info &info) { upstreamChanged(info); }});
-    pollLoad();
-    m_server = std::make_unique<http_server>(m_settings.listen, m_settings.limits, [this](http_exchange &exchange) { handle(exchange); });
-    m_status = std::make_unique<http_server>(m_settings.statusListen, http_limits {.maxConnections = 32},
-                                             statusHandler(
-                                                 m_metrics, [this] { return notReady(); }, [this] { refreshMetrics(); }));
-    m_tick = std::make_unique<periodic_timer>(tickInterval, [this] { onTick(); });
-    m_loadPoll = std::make_unique<periodic_timer>(m_settings.loadInterval, [this] { pollLoad(); });
-    logEvent(log_event::daemonReady, "listen=" + address() + " status=" + statusAddress());
+    , m_tickTimer(m_loop.context())
+    , m_loadTimer(m_loop.context())
+{
+    m_fleet->start({[this](const fleet_config_ptr &config) { m_loop.post([this, config] { configChanged(config); }); },
+                    [this](const upstream_info &info) { m_loop.post([this, info] { upstreamChanged(info); }); }});
+    m_loop.run([this] {
+        tick();
+        pollLoad();
+    });
+    m_loop.waitFor([this] { return m_wasLoadAsked; }, firstLoadLimit);
+    m_server = startServer(m_loop, m_settings.listen, m_settings.limits, [this](const http_exchange::pointer &each) { handle(each); });
+    m_status = startStatusServer(
+        m_loop, m_settings.statusListen, m_metrics, [this] { return notReady(); }, [this] { refreshMetrics(); });
+    m_address = m_server->address();
+    m_statusAddress = m_status->address();
+    logEvent(log_event::daemonReady, "listen=" + m_address + " status=" + m_statusAddress);
 }
 
 agent_daemon::~agent_daemon()
 {
     m_fleet->stop();
-    m_loadPoll.reset();
-    m_tick.reset();
-    std::map<attempt_ref, stream_ptr> streams;
-    std::shared_ptr<agent_ledger> last;
-    {
-        const std::lock_guard lock(m_streamsMutex);
-        streams.swap(m_streams);
-    }
-    for (const auto &[attempt, stream] : streams) {
-        stream->cancel();
-        stream->refuse(error_code::shuttingDown, run_state::unknown, duration(0));
-    }
-    m_server->stop(duration(0));
-    m_status->stop(duration(0));
-    m_workers.wait();
-    {
-        const std::lock_guard lock(m_ledgerMutex);
-        m_ledger.swap(last);
-    }
-    last.reset();
-    m_workers.wait(); // calls that the ledger started meanwhile
+    std::shared_ptr<agent_ledger> bookings;
+    m_loop.run([this, &bookings] {
+        m_tickTimer.cancel();
+        m_loadTimer.cancel();
+        bookings = std::exchange(m_ledger, nullptr);
+        for (const auto &[attempt, stream] : std::exchange(m_streams, {})) {
+            stream->cancel();
+            stream->refuse(error_code::shuttingDown, run_state::unknown, duration(0));
+        }
+    });
+    bookings.reset(); // waits for its threads, which may still post to the loop
+    stopServer(m_loop, m_server, duration(0));
+    stopServer(m_loop, m_status, duration(0));
+    m_loop.stop();
 }
 
 std::string agent_daemon::address() const
 {
-    return m_server->address();
+    return m_address;
 }
 
 std::string agent_daemon::statusAddress() const
 {
-    return m_status->address();
+    return m_statusAddress;
 }
 
 bool agent_daemon::drain(duration limit)
 {
     logEvent(log_event::daemonStopping, "limit_ms=" + std::to_string(limit.count() / 1000));
     const time_point end = steadyNow() + limit;
-    m_draining = true;
     m_fleet->announceLeaving();
-    post(admission_event::drain_requested {});
-    bool complete = false;
-    {
-        std::unique_lock lock(m_streamsMutex);
-        complete = m_streamsChanged.wait_for(lock, limit, [this] { return m_drained && m_senders == 0; });
-    }
-    m_server->stop(std::max(end - steadyNow(), duration(0)));
+    m_loop.run([this] {
+        m_draining = true;
+        post(admission_event::drain_requested {});
+    });
+    const bool complete = m_loop.waitFor([this] { return m_drained && m_senders == 0; }, limit);
+    stopServer(m_loop, m_server, std::max(end - steadyNow(), duration(0)));
     logEvent(log_event::daemonStopped, complete ? "cut=no" : "cut=yes");
     return complete;
 }
 
-void agent_daemon::handle(http_exchange &exchange)
+void agent_daemon::handle(const http_exchange::pointer &exchange)
 {
-    try {
-        const std::string path = exchange.path();
-        if (path == rpcPath && exchange.method() == "POST") {
-            const std::string body = exchange.readBody();
-            exchange.reply(200, "application/json", m_fleet->handleRpc(exchange.header(rpcAuthHeader), body));
-        } else if (path == workPath && exchange.method() == "POST") {
-            handleWork(exchange);
-        } else if (path.compare(0, cancelPrefix.size(), cancelPrefix) == 0 && exchange.method() == "DELETE") {
-            handleCancel(exchange);
-        } else {
-            exchange.reply(404, "text/plain", "no such path\n");
-        }
-    } catch (const error &) {
-        throw;
-    } catch (const std::exception &fault) {
-        logEvent(log_event::internalFault, fault.what());
-        throw error(error_code::internal, {}, run_state::unknown);
+    const std::string path = exchange->path();
+    if (path == rpcPath && exchange->method() == "POST") {
+        exchange->reply(200, "application/json", m_fleet->handleRpc(exchange->header(rpcAuthHeader), exchange->body()));
+    } else if (path == workPath && exchange->method() == "POST") {
+        handleWork(exchange);
+    } else if (path.compare(0, cancelPrefix.size(), cancelPrefix) == 0 && exchange->method() == "DELETE") {
+        handleCancel(*exchange);
+    } else {
+        exchange->reply(404, "text/plain", "no such path\n");
     }
 }
 
-work_header agent_daemon::readHeader(http_exchange &exchange, const std::string &body)
+nlohmann::json agent_daemon::readFields(const http_exchange &exchange)
 {
     nlohmann::json fields = nlohmann::json::parse(exchange.header(workHeaderName), nullptr, false);
     if (!fields.is_object()) {
         throw error(error_code::malformedRequest, std::string(workHeaderName) + " is not a JSON object");
     }
-    m_authenticator.verify(exchange.method(), exchange.target(), fields, body);
-    return parseWorkHeader(fields);
+    m_authenticator.verify(exchange.method(), exchange.target(), fields, exchange.body());
+    return fields;
 }
 
-void agent_daemon::handleWork(http_exchange &exchange)
+void agent_daemon::handleWork(const http_exchange::pointer &exchange)
 {
-    std::string body = exchange.readBody();
-    const work_header header = readHeader(exchange, body);
+    const work_header header = parseWorkHeader(readFields(*exchange));
     m_fleet->versionSeen(header.configVersion);
-    const stream_ptr stream = findOrStart(header, std::move(body));
-    const std::uint64_t generation = stream->attach(header.resumeSeq);
-    if (generation == 0) {
+    const stream_ptr stream = findOrStart(header, exchange->body());
+    sender_callbacks callbacks;
+    callbacks.addReport = [this](stream_record &record) {
+        record.load = report();
+        record.configVersion = m_configVersion;
+    };
+    callbacks.ended = [this, stream] { senderEnded(stream); };
+    ++m_senders;
+    const auto sender
+        = std::make_shared<agent_sender>(m_loop.context(), exchange, stream, m_settings.keepaliveInterval, std::move(callbacks));
+    if (!sender->start(header.resumeSeq)) {
+        --m_senders;
         throw error(error_code::streamLost, "the record to resume at is not in the buffer", run_state::unknown);
     }
     if (header.resume) {
         m_resumed.Increment();
         logEvent(log_event::streamResumed, describe(header.attempt) + " seq=" + std::to_string(header.resumeSeq));
     }
-    const attachment guard(*this, *stream, generation);
-    exchange.startStream(200, "application/x-ndjson");
-    send(exchange, *stream, generation);
+}
+
+void agent_daemon::senderEnded(const stream_ptr &stream)
+{
+    --m_senders;
     if (stream->isEnded() && !stream->isComplete()) {
         // Nobody resumes a refused attempt. A surge of refusals must not fill the memory for the resume window.
-        const std::lock_guard lock(m_streamsMutex);
-        m_streams.erase(header.attempt);
+        m_streams.erase(stream->header().attempt);
     }
 }
 
-agent_daemon::stream_ptr agent_daemon::findOrStart(const work_header &header, std::string body)
+agent_daemon::stream_ptr agent_daemon::findOrStart(const work_header &header, const std::string &body)
 {
-    stream_ptr stream;
-    {
-        const std::lock_guard lock(m_streamsMutex);
-        const auto found = m_streams.find(header.attempt);
-        if (found != m_streams.end()) {
-            return found->second;
-        }
-        // A streamed chat can be asked of the engine again from the offset on; other work only from its start.
-        if (header.resumeSeq > 0 && !header.stream) {
-            throw error(error_code::streamLost, "the attempt is not known here", run_state::unknown);
-        }
-        stream = std::make_shared<agent_stream>(header, std::move(body), m_settings.streamBufferBytes);
-        m_streams.emplace(header.attempt, stream);
+    if (stream_ptr known = find(header.attempt)) {
+        return known;
     }
+    // A streamed chat can be asked of the engine again from the offset on; other work only from its start.
+    if (header.resumeSeq > 0 && !header.stream) {
+        throw error(error_code::streamLost, "the attempt is not known here", run_state::unknown);
+    }
+    auto stream = std::make_shared<agent_stream>(header, body, m_settings.streamBufferBytes);
+    m_streams.emplace(header.attempt, stream);
     offer(stream);
     return stream;
 }
@@ -219,7 +185,7 @@
 {
     const work_header &header = stream->header();
     m_offered.Increment();
-    if (header.info.kind == work_kind::booking && !ledger()) {
+    if (header.info.kind == work_kind::booking && !m_ledger) {
         // Without a ledger no booking may run.
         m_refused.Increment();
         stream->refuse(error_code::platformUnavailable, run_state::notRun, platformRetryAfter);
@@ -230,54 +196,9 @@
     post(admission_event::work_offered {header.attempt, info, header.mean, header.expectedCachedTokens});
 }
 
-void agent_daemon::send(http_exchange &exchange, agent_stream &stream, std::uint64_t generation)
-{
-    stream_checksum checksum;
-    stream_record record;
-    for (;;) {
-        record = stream_record();
-        const agent_stream::next_kind kind = stream.next(generation, m_settings.keepaliveInterval, record);
-        if (kind == agent_stream::next_kind::replaced) {
-            exchange.abort();
-            return;
-        }
-        if (kind == agent_stream::next_kind::idle) {
-            record.kind = record_kind::keepalive;
-        }
-        if (!sendRecord(exchange, stream, record, checksum)) {
-            exchange.abort();
-            return;
-        }
-        if (record.kind == record_kind::end || record.kind == record_kind::refused) {
-            return;
-        }
-    }
-}
-
-bool agent_daemon::sendRecord(http_exchange &exchange, agent_stream &stream, stream_record &record, stream_checksum &checksum)
-{
-    record.request = stream.header().attempt.request;
-    if (record.kind == record_kind::data) {
-        checksum.add(record.data);
-    }
-    if (record.kind == record_kind::end) {
-        record.bytes = checksum.bytes();
-        record.checksum = checksum.value();
-    }
-    if (record.kind != record_kind::data && record.kind != record_kind::keepalive) {
-        record.load = report();
-        record.configVersion = m_configVersion;
-    }
-    return exchange.write(encodeRecord(record) + "\n");
-}
-
 void agent_daemon::handleCancel(http_exchange &exchange)
 {
-    nlohmann::json fields = nlohmann::json::parse(exchange.header(workHeaderName), nullptr, false);
-    if (!fields.is_object()) {
-        throw error(error_code::malformedRequest, std::string(workHeaderName) + " is not a JSON object");
-    }
-    m_authenticator.verify(exchange.method(), exchange.target(), fields, "");
+    readFields(exchange);
     const std::string rest = exchange.path().substr(cancelPrefix.size());
     const std::size_t slash = rest.find('/');
     if (slash == std::string::npos) {
@@ -293,87 +214,90 @@
 
 void agent_daemon::post(const admission_core::event &event)
 {
-    std::vector<admission_core::effect> effects;
-    {
-        const std::lock_guard lock(m_coreMutex);
-        m_core.apply(steadyNow(), event, effects);
+    m_pending.push_back(event);
+    if (m_applying) {
+        return;
     }
-    for (const admission_core::effect &effect : effects) {
-        execute(effect);
+    m_applying = true;
+    std::vector<admission_core::effect> effects;
+    while (!m_pending.empty()) {
+        std::vector<admission_core::event> events;
+        events.swap(m_pending);
+        for (const admission_core::event &each : events) {
+            effects.clear();
+            m_core.apply(steadyNow(), each, effects);
+            for (const admission_core::effect &effect : effects) {
+                std::visit([this](const auto &single) { carryOut(single); }, effect);
+            }
+        }
     }
+    m_applying = false;
 }
 
-void agent_daemon::execute(const admission_core::effect &effect)
-{
-    std::visit(overloaded {
-                   [this](const admission_effect::start_work &order) {
-                       if (const stream_ptr stream = find(order.attempt)) {
-                           start(stream, order.priority);
-                       }
-                   },
-                   [this](const admission_effect::refuse_work &refused) {
-                       m_refused.Increment();
-                       if (const stream_ptr stream = find(refused.attempt)) {
-                           logEvent(log_event::workRefused,
-                                    describe(refused.attempt) + " code=" + std::string(errorInfo(refused.why.code).name));
-                           stream->refuse(refused.why.code, run_state::notRun, refused.why.retryAfter);
-                       }
-                   },
-                   [this](const admission_effect::cancel_work &cancelled) {
-                       if (const stream_ptr stream = find(cancelled.attempt)) {
-                           cancelAtUpstream(stream);
-                       }
-                   },
-                   [this](const admission_effect::drained &) {
-                       const std::lock_guard lock(m_streamsMutex);
-                       m_drained = true;
-                       m_streamsChanged.notify_all();
-                   },
-                   [](const log_record &record) { logEvent(record); },
-               },
-               effect);
-}
-
-void agent_daemon::start(const stream_ptr &stream, unsigned priority)
+void agent_daemon::carryOut(const admission_effect::start_work &order)
 {
+    const stream_ptr stream = find(order.attempt);
+    if (!stream) {
+        return;
+    }
     m_started.Increment();
-    if (stream->header().info.kind == work_kind::booking) {
-        const request_info &info = stream->header().info;
-        ledger()->post(ledger_event::booking_offered {stream->header().attempt, info.idempotencyKey, info.bodyHash,
+    const request_info &info = stream->header().info;
+    if (info.kind == work_kind::booking) {
+        m_ledger->post(ledger_event::booking_offered {order.attempt, info.idempotencyKey, info.bodyHash,
                                                       steadyNow() + info.deadline.time_since_epoch(), wallNow()});
         return;
     }
-    m_workers.run([this, stream, priority] {
-        const attempt_ref attempt = stream->header().attempt;
-        upstream_result result;
-        try {
-            result = m_upstream.run(*stream, priority, [this, attempt] { post(admission_event::first_token {attempt}); });
-        } catch (const std::exception &fault) {
-            logEvent(log_event::internalFault, describe(attempt) + " " + fault.what());
-        }
-        if (!result.ok) {
-            m_failed.Increment();
-        }
-        stream->refuse(error_code::internal, run_state::unknown, duration(0)); // ignored if the stream has its end
-        post(admission_event::work_finished {attempt, result.ok, result.generatedTokens});
-    });
+    m_upstream.run(
+        stream, order.priority, [this, attempt = order.attempt] { post(admission_event::first_token {attempt}); },
+        [this, attempt = order.attempt](const upstream_result &result) {
+            if (!result.ok) {
+                m_failed.Increment();
+            }
+            post(admission_event::work_finished {attempt, result.ok, result.generatedTokens});
+        });
+}
+
+void agent_daemon::carryOut(const admission_effect::refuse_work &refused)
+{
+    m_refused.Increment();
+    if (const stream_ptr stream = find(refused.attempt)) {
+        logEvent(log_event::workRefused, describe(refused.attempt) + " code=" + std::string(errorInfo(refused.why.code).name));
+        stream->refuse(refused.why.code, run_state::notRun, refused.why.retryAfter);
+    }
+}
+
+void agent_daemon::carryOut(const admission_effect::cancel_work &cancelled)
+{
+    if (const stream_ptr stream = find(cancelled.attempt)) {
+        cancelAtUpstream(stream);
+    }
+}
+
+void agent_daemon::carryOut(const admission_effect::drained &)
+{
+    m_drained = true;
+}
+
+void agent_daemon::carryOut(const log_record &record)
+{
+    logEvent(record);
 }
 
 void agent_daemon::cancelAtUpstream(const stream_ptr &stream)
 {
-    // Read before cancel(): that breaks the upstream connection, and its thread may end the stream at once.
+    // Read before cancel(), which ends the call to the upstream.
     const bool running = stream->wasStarted() && !stream->isEnded();
     if (!stream->cancel()) {
         return;
     }
     m_cancelled.Increment();
     const bool isBooking = stream->header().info.kind == work_kind::booking;
-    if (const std::shared_ptr<agent_ledger> bookings = isBooking ? ledger() : nullptr) {
-        bookings->post(ledger_event::booking_cancelled {stream->header().attempt});
+    if (isBooking && m_ledger) {
+        m_ledger->post(ledger_event::booking_cancelled {stream->header().attempt});
     }
     stream->refuse(error_code::streamLost, running || isBooking ? run_state::unknown : run_state::notRun, duration(0));
     if (running) {
-        m_workers.run([this, stream] { m_upstream.cancel(stream->header().attempt.request); });
+        m_upstream.cancel(stream->header().attempt.request);
     }
     post(admission_event::work_cancelled {stream->header().attempt});
 }
@@ -387,9 +311,8 @@
     if (service == nullptr || m_settings.platform.objects.empty()) {
         return;
     }
-    std::shared_ptr<agent_ledger> bookings = ledger();
-    if (bookings) {
-        bookings->post(ledger_event::service_config_changed {*service});
+    if (m_ledger) {
+        m_ledger->post(ledger_event::service_config_changed {*service});
         return;
     }
     ledger_options options;
@@ -399,11 +322,7 @@
     options.horizon = service->horizon;
     options.checksKeys = service->checksKeys;
     options.nonceSeed = randomId();
-    bookings = std::make_shared<agent_ledger>(std::move(options), m_settings.platform.objects, ledgerCallbacks());
-    {
-        const std::lock_guard lock(m_ledgerMutex);
-        m_ledger = std::move(bookings);
-    }
+    m_ledger = std::make_shared<agent_ledger>(std::move(options), m_settings.platform.objects, ledgerCallbacks());
     postOwners();
 }
 
@@ -412,62 +331,53 @@
     if (!info.service.isValid() || info.service != m_settings.self.service) {
         return;
     }
-    {
-        const std::lock_guard lock(m_ledgerMutex);
-        m_owners[info.upstream] = info.state == upstream_state::live;
-    }
+    m_owners[info.upstream] = info.state == upstream_state::live;
     postOwners();
 }
 
 void agent_daemon::postOwners()
 {
+    if (!m_ledger) {
+        return;
+    }
     ledger_event::owner_view_changed view;
-    std::shared_ptr<agent_ledger> bookings;
-    {
-        const std::lock_guard lock(m_ledgerMutex);
-        for (const auto &[upstream, isLive] : m_owners) {
-            if (isLive) {
-                view.live.push_back(upstream);
-            }
+    for (const auto &[upstream, isLive] : m_owners) {
+        if (isLive) {
+            view.live.push_back(upstream);
         }
-        bookings = m_ledger;
-    }
-    if (bookings) {
-        bookings->post(view);
     }
+    m_ledger->post(view);
 }
 
-std::shared_ptr<agent_ledger> agent_daemon::ledger()
-{
-    const std::lock_guard lock(m_ledgerMutex);
-    return m_ledger;
-}
-
+/// The ledger calls from its own threads.
 ledger_callbacks agent_daemon::ledgerCallbacks()
 {
     ledger_callbacks callbacks;
-    callbacks.run = [this](const ledger_effect::run_request &order) { m_workers.run([this, order] { book(order); }); };
-    callbacks.outcome = [this](const ledger_effect::reply_outcome &reply) { replyOutcome(reply); };
-    callbacks.refusal = [this](const ledger_effect::reply_refusal &reply) { replyRefusal(reply); };
+    callbacks.run = [this](const ledger_effect::run_request &order) { m_loop.post([this, order] { book(order); }); };
+    callbacks.outcome = [this](const ledger_effect::reply_outcome &reply) { m_loop.post([this, reply] { replyOutcome(reply); }); };
+    callbacks.refusal = [this](const ledger_effect::reply_refusal &reply) { m_loop.post([this, reply] { replyRefusal(reply); }); };
     return callbacks;
 }
 
 void agent_daemon::book(const ledger_effect::run_request &order)
 {
-    service_answer answer;
-    answer.state = run_state::notRun;
+    const auto answered = [this, claim = order.claim](const service_answer &answer) {
+        if (!m_ledger) {
+            return;
+        }
+        if (answer.state == run_state::ran) {
+            m_ledger->post(ledger_event::service_answered {claim, answer.status, answer.contentType, answer.body});
+        } else {
+            m_ledger->post(ledger_event::service_failed {claim, answer.state});
+        }
+    };
     if (const stream_ptr stream = find(order.attempt)) {
-        answer = m_upstream.book(*stream, order.key.toText(), order.fencing, order.deadline - steadyNow());
-    }
-    const std::shared_ptr<agent_ledger> bookings = ledger();
-    if (!bookings) {
+        m_upstream.book(stream, order.key.toText(), order.fencing, order.deadline - steadyNow(), answered);
         return;
     }
-    if (answer.state == run_state::ran) {
-        bookings->post(ledger_event::service_answered {order.claim, answer.status, answer.contentType, answer.body});
-    } else {
-        bookings->post(ledger_event::service_failed {order.claim, answer.state});
-    }
+    service_answer notRun;
+    notRun.state = run_state::notRun;
+    answered(notRun);
 }
 
 void agent_daemon::replyOutcome(const ledger_effect::reply_outcome &reply)
@@ -479,7 +389,7 @@
         head.outcome = reply.outcome.bodyKept ? "" : "ran";
         stream->setHead(std::move(head));
         if (!reply.outcome.body.empty()) {
-            stream->append({reply.outcome.body, {}}); // the first piece never waits for room
+            stream->append({reply.outcome.body, {}});
         }
         stream->finish(0, 0);
     }
@@ -494,16 +404,14 @@
     post(admission_event::work_finished {reply.attempt, true, 0});
 }
 
-agent_daemon::stream_ptr agent_daemon::find(attempt_ref attempt)
+agent_daemon::stream_ptr agent_daemon::find(attempt_ref attempt) const
 {
-    const std::lock_guard lock(m_streamsMutex);
     const auto found = m_streams.find(attempt);
     return found == m_streams.end() ? nullptr : found->second;
 }
 
-load_report agent_daemon::report()
+load_report agent_daemon::report() const
 {
-    const std::lock_guard lock(m_coreMutex);
     load_report load = m_core.report(steadyNow());
     if (m_incarnation != 0) {
         load.incarnation = m_incarnation;
@@ -511,53 +419,62 @@
     return load;
 }
 
-void agent_daemon::onTick()
+void agent_daemon::tick()
 {
     post(admission_event::tick {});
     const time_point expired = steadyNow() - m_settings.resumeWindow;
     std::vector<stream_ptr> old;
-    {
-        const std::lock_guard lock(m_streamsMutex);
-        for (auto entry = m_streams.begin(); entry != m_streams.end();) {
-            if (!entry->second->isDetachedSince(expired)) {
-                ++entry;
-                continue;
-            }
-            old.push_back(entry->second);
-            entry = m_streams.erase(entry);
+    std::erase_if(m_streams, [&](const auto &entry) {
+        const bool isOld = entry.second->isDetachedSince(expired);
+        if (isOld) {
+            old.push_back(entry.second);
         }
-    }
+        return isOld;
+    });
     for (const stream_ptr &stream : old) {
         if (!stream->isEnded()) {
             logEvent(log_event::streamLost, describe(stream->header().attempt) + " reason=not_resumed");
             cancelAtUpstream(stream);
         }
     }
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code &stopped) {
+        if (!stopped) {
+            tick();
+        }
+    });
 }
 
 void agent_daemon::pollLoad()
 {
-    const std::optional<upstream_load> load = m_upstream.readLoad();
-    if (!load) {
-        return;
-    }
-    const std::uint64_t before = m_incarnation.exchange(load->incarnation);
-    if (before != 0 && before != load->incarnation) {
-        post(admission_event::upstream_restarted {load->incarnation});
-    }
-    post(admission_event::upstream_load_reported {load->running});
+    m_upstream.readLoad([this](const std::optional<upstream_load> &load) {
+        m_wasLoadAsked = true;
+        if (load) {
+            const std::uint64_t before = std::exchange(m_incarnation, load->incarnation);
+            if (before != 0 && before != load->incarnation) {
+                post(admission_event::upstream_restarted {load->incarnation});
+            }
+            post(admission_event::upstream_load_reported {load->running});
+        }
+        m_loadTimer.expires_after(m_settings.loadInterval);
+        m_loadTimer.async_wait([this](const boost::system::error_code &stopped) {
+            if (!stopped) {
+                pollLoad();
+            }
+        });
+    });
 }
 
 void agent_daemon::refreshMetrics()
 {
     const load_report load = report();
-    m_connections.Set(m_server ? m_server->connections() : 0);
+    m_connections.Set(m_server ? static_cast<double>(m_server->connections()) : 0);
     m_running.Set(load.running);
     m_queued.Set(load.queued);
     m_window.Set(load.window);
 }
 
-std::string agent_daemon::notReady()
+std::string agent_daemon::notReady() const
 {
     if (m_draining) {
         return "draining";
--- a/programs/agent/agent_daemon.h
+++ b/programs/agent/agent_daemon.h
@@ -1,7 +1,9 @@
-// nutmegtally-agent: takes work from routers, admits it, runs it on its upstream and streams the answer back.
+// nutmegtally-agent: takes work from routers, admits it, runs it on its upstream and streams the answer back. Everything
+// but the fleet's driver and the ledger's calls to the object API runs in one event loop.
 #pragma once
 
 #include "agent/agent_ledger.h"
+#include "agent/agent_sender.h"
 #include "agent/agent_settings.h"
 #include "agent/agent_stream.h"
 #include "agent/agent_upstream.h"
@@ -10,16 +12,15 @@
 #include "daemon/daemon_http.h"
 #include "daemon/daemon_metrics.h"
 #include "daemon/daemon_status.h"
-#include "daemon/daemon_workers.h"
 
 #include <nutmegtally/admission.h>
 
-#include <atomic>
-#include <condition_variable>
+#include <boost/asio/steady_timer.hpp>
+
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
+#include <vector>
 
 namespace nutmegtally
 {
@@ -44,45 +45,41 @@
 private:
     using stream_ptr = std::shared_ptr<agent_stream>;
 
-    /// Ends a connection's claim on a stream.
-    class attachment;
-
-    void handle(http_exchange &exchange);
-    void handleWork(http_exchange &exchange);
+    void handle(const http_exchange::pointer &exchange);
+    void handleWork(const http_exchange::pointer &exchange);
     void handleCancel(http_exchange &exchange);
-    work_header readHeader(http_exchange &exchange, const std::string &body);
-    stream_ptr findOrStart(const work_header &header, std::string body);
+
+    /// Header of a call after its tag was checked. @throws error malformedRequest, authenticationFailed
+    nlohmann::json readFields(const http_exchange &exchange);
+    stream_ptr findOrStart(const work_header &header, const std::string &body);
     void offer(const stream_ptr &stream);
-    void send(http_exchange &exchange, agent_stream &stream, std::uint64_t generation);
-    bool sendRecord(http_exchange &exchange, agent_stream &stream, stream_record &record, stream_checksum &checksum);
+    void senderEnded(const stream_ptr &stream);
 
     void configChanged(const fleet_config_ptr &config);
     void upstreamChanged(const upstream_info &info);
-
     void postOwners();
-
-    /// @return Null until the first configuration, without a platform, and beside an engine.
-    std::shared_ptr<agent_ledger> ledger();
     ledger_callbacks ledgerCallbacks();
     void book(const ledger_effect::run_request &order);
     void replyOutcome(const ledger_effect::reply_outcome &reply);
     void replyRefusal(const ledger_effect::reply_refusal &reply);
 
     void post(const admission_core::event &event);
-    void execute(const admission_core::effect &effect);
-    void start(const stream_ptr &stream, unsigned priority);
+    void carryOut(const admission_effect::start_work &order);
+    void carryOut(const admission_effect::refuse_work &refused);
+    void carryOut(const admission_effect::cancel_work &cancelled);
+    void carryOut(const admission_effect::drained &drained);
+    void carryOut(const log_record &record);
     void cancelAtUpstream(const stream_ptr &stream);
-    stream_ptr find(attempt_ref attempt);
-    load_report report();
-    void onTick();
+    stream_ptr find(attempt_ref attempt) const;
+    load_report report() const;
+    void tick();
     void pollLoad();
     void refreshMetrics();
-    std::string notReady();
+    std::string notReady() const;
 
     agent_settings m_settings;
     std::unique_ptr<fleet_source> m_fleet;
     message_authenticator m_authenticator;
-    upstream_caller m_upstream;
     daemon_metrics m_metrics;
     prometheus::Counter &m_offered;
     prometheus::Counter &m_refused;
@@ -95,27 +92,26 @@
     prometheus::Gauge &m_queued;
     prometheus::Gauge &m_window;
 
-    std::mutex m_coreMutex;
-    admission_core m_core; // under m_coreMutex
-    std::atomic<std::uint64_t> m_configVersion = 0;
-    std::atomic<std::uint64_t> m_incarnation = 0; // of the upstream; 0 until it reported its load
-    std::atomic<bool> m_draining = false;
-
-    std::mutex m_ledgerMutex;
-    std::shared_ptr<agent_ledger> m_ledger; // under m_ledgerMutex
-    std::map<upstream_id, bool> m_owners; // agents of this service, true if live; under m_ledgerMutex
-
-    std::mutex m_streamsMutex;
-    std::condition_variable m_streamsChanged;
-    std::map<attempt_ref, stream_ptr> m_streams; // under m_streamsMutex
-    bool m_drained = false; // under m_streamsMutex
-    unsigned m_senders = 0; // exchanges that send a stream; under m_streamsMutex
-
-    worker_group m_workers;
-    std::unique_ptr<http_server> m_status;
-    std::unique_ptr<http_server> m_server;
-    std::unique_ptr<periodic_timer> m_tick;
-    std::unique_ptr<periodic_timer> m_loadPoll;
+    event_loop m_loop; // what follows is used in it only
+    upstream_caller m_upstream;
+    admission_core m_core;
+    std::vector<admission_core::event> m_pending; // posted while effects are carried out
+    bool m_applying = false;
+    std::uint64_t m_configVersion = 0;
+    bool m_wasLoadAsked = false; // the upstream has answered or failed to
+    std::uint64_t m_incarnation = 0; // of the upstream; 0 until it reported its load
+    std::shared_ptr<agent_ledger> m_ledger; // null until the first configuration, without a platform, and beside an engine
+    std::map<upstream_id, bool> m_owners; // agents of this service, true if live
+    std::map<attempt_ref, stream_ptr> m_streams;
+    unsigned m_senders = 0; // connections that send a stream
+    bool m_draining = false;
+    bool m_drained = false;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_loadTimer;
+    std::unique_ptr<exchange_server> m_server;
+    std::unique_ptr<exchange_server> m_status;
+    std::string m_address;
+    std::string m_statusAddress;
 };
 
 } // namespace nutmegtally
--- /dev/null
+++ b/programs/agent/agent_sender.cpp
@@ -0,0 +1,111 @@
+#include "agent/agent_sender.h"
+
+#include "daemon/daemon_clock.h"
+#include "serving/serving_limits.h"
+
+namespace nutmegtally
+{
+
+agent_sender::agent_sender(boost::asio::io_context &context, http_exchange::pointer exchange, std::shared_ptr<agent_stream> stream,
+                           duration keepalive, sender_callbacks callbacks)
+    : m_exchange(std::move(exchange))
+    , m_stream(std::move(stream))
+    , m_keepalive(keepalive)
+    , m_callbacks(std::move(callbacks))
+    , m_idle(context)
+{
+}
+
+bool agent_sender::start(std::uint64_t seq)
+{
+    // The stream does not hold the sender: the connection does, until it ends.
+    const std::weak_ptr<agent_sender> weak = weak_from_this();
+    m_generation = m_stream->attach(seq, [weak] {
+        if (const auto self = weak.lock()) {
+            self->pump();
+        }
+    });
+    if (m_generation == 0) {
+        return false;
+    }
+    const auto self = shared_from_this();
+    m_exchange->watch([self] { self->finish(); }, [self] { self->pump(); });
+    m_exchange->startStream(200, "application/x-ndjson");
+    pump();
+    return true;
+}
+
+void agent_sender::pump()
+{
+    if (m_isPumping || m_isOver) {
+        return; // the loop below sees what is new
+    }
+    m_isPumping = true;
+    while (!m_isOver && m_exchange->waitingOutput() < serving_limits::outputBytes) {
+        stream_record record;
+        const agent_stream::next_kind kind = m_stream->next(m_generation, record);
+        if (kind == agent_stream::next_kind::replaced) {
+            m_exchange->abort();
+            finish();
+            break;
+        }
+        if (kind == agent_stream::next_kind::idle) {
+            break;
+        }
+        send(record);
+        if (record.kind == record_kind::end || record.kind == record_kind::refused) {
+            m_exchange->endStream();
+            finish();
+        }
+    }
+    m_isPumping = false;
+    if (!m_isOver) {
+        awaitIdle();
+    }
+}
+
+void agent_sender::send(stream_record &record)
+{
+    record.request = m_stream->header().attempt.request;
+    if (record.kind == record_kind::data) {
+        m_checksum.add(record.data);
+    }
+    if (record.kind == record_kind::end) {
+        record.bytes = m_checksum.bytes();
+        record.checksum = m_checksum.value();
+    }
+    if (record.kind != record_kind::data && record.kind != record_kind::keepalive) {
+        m_callbacks.addReport(record);
+    }
+    m_exchange->write(encodeRecord(record) + "\n");
+}
+
+void agent_sender::awaitIdle()
+{
+    m_idle.expires_after(m_keepalive);
+    m_idle.async_wait([self = shared_from_this()](const boost::system::error_code &stopped) {
+        if (stopped || self->m_isOver) {
+            return;
+        }
+        if (self->m_exchange->waitingOutput() == 0) {
+            stream_record record;
+            record.kind = record_kind::keepalive;
+            self->send(record);
+        }
+        self->awaitIdle();
+    });
+}
+
+void agent_sender::finish()
+{
+    if (m_isOver) {
+        return;
+    }
+    m_isOver = true;
+    m_idle.cancel();
+    m_stream->detach(m_generation, steadyNow());
+    m_exchange->watch(nullptr, nullptr);
+    m_callbacks.ended();
+}
+
+} // namespace nutmegtally
--- a/programs/agent/agent_stream.cpp
+++ b/programs/agent/agent_stream.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/daemon_clock.h"
 
-#include <Poco/Exception.h>
+#include <utility>
 
 namespace nutmegtally
 {
@@ -28,32 +28,36 @@
 {
 }
 
+void agent_stream::notify()
+{
+    // A copy: the call may end the connection and with it the handler.
+    if (const auto changed = m_changed) {
+        changed();
+    }
+}
+
 void agent_stream::setHead(stream_record head)
 {
-    const std::lock_guard lock(m_mutex);
     if (m_hasHead) {
         return;
     }
     m_head = std::move(head);
     m_head.kind = record_kind::head;
     m_hasHead = true;
-    m_changed.notify_all();
+    notify();
 }
 
-bool agent_stream::append(stream_piece piece)
+void agent_stream::append(stream_piece piece)
 {
-    std::unique_lock lock(m_mutex);
-    m_changed.wait(lock, [this] { return m_cancelled || m_unsentBytes < m_bufferBytes; });
-    if (m_cancelled) {
-        return false;
+    if (m_ended) {
+        return;
     }
     m_characters += countCharacters(piece.text);
     m_heldBytes += sizeOf(piece);
     m_unsentBytes += sizeOf(piece);
     m_pieces.push_back(std::move(piece));
     trim();
-    m_changed.notify_all();
-    return true;
+    notify();
 }
 
 void agent_stream::trim()
@@ -67,7 +71,6 @@
 
 void agent_stream::finish(std::uint32_t promptTokens, std::uint32_t cachedTokens)
 {
-    const std::lock_guard lock(m_mutex);
     if (m_ended) {
         return;
     }
@@ -76,12 +79,11 @@
     m_last.cachedTokens = cachedTokens;
     m_last.seq = m_firstSeq + m_pieces.size();
     m_ended = true;
-    m_changed.notify_all();
+    notify();
 }
 
 void agent_stream::refuse(error_code code, run_state state, duration retryAfter, upstream_id owner)
 {
-    const std::lock_guard lock(m_mutex);
     if (m_ended) {
         return;
     }
@@ -91,61 +93,28 @@
     m_last.retryAfter = retryAfter;
     m_last.owner = owner;
     m_ended = true;
-    m_changed.notify_all();
-}
-
-std::uint64_t agent_stream::characters() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_characters;
+    notify();
 }
 
-bool agent_stream::setSession(client_session *session)
+void agent_stream::watch(std::function<void()> room, std::function<void()> cancelled)
 {
-    const std::lock_guard lock(m_mutex);
-    m_session = session;
-    return !m_cancelled;
+    m_room = std::move(room);
+    m_cancelHandler = std::move(cancelled);
 }
 
 bool agent_stream::cancel()
 {
-    const std::lock_guard lock(m_mutex);
-    if (m_cancelled) {
+    if (std::exchange(m_cancelled, true)) {
         return false;
     }
-    m_cancelled = true;
-    if (m_session != nullptr) {
-        try {
-            m_session->socket().shutdown();
-        } catch (const Poco::Exception &) {
-            m_session = nullptr; // the connection is closed already
-        }
+    if (const auto cancelled = std::exchange(m_cancelHandler, nullptr)) {
+        cancelled();
     }
-    m_changed.notify_all();
     return true;
 }
 
-bool agent_stream::isCancelled() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_cancelled;
-}
-
-void agent_stream::markStarted()
-{
-    const std::lock_guard lock(m_mutex);
-    m_started = true;
-}
-
-bool agent_stream::wasStarted() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_started;
-}
-
-std::uint64_t agent_stream::attach(std::uint64_t seq)
+std::uint64_t agent_stream::attach(std::uint64_t seq, std::function<void()> changed)
 {
-    const std::lock_guard lock(m_mutex);
     if (seq < m_firstSeq || seq > m_firstSeq + m_pieces.size()) {
         return 0;
     }
@@ -155,33 +124,23 @@
         m_unsentBytes += sizeOf(m_pieces[i]);
     }
     m_headSent = false;
-    m_attached = true;
-    m_changed.notify_all();
-    return ++m_generation;
+    ++m_generation;
+    // The connection that sent it before learns from its next call that it was replaced.
+    if (const auto before = std::exchange(m_changed, std::move(changed))) {
+        before();
+    }
+    return m_generation;
 }
 
-agent_stream::next_kind agent_stream::next(std::uint64_t generation, duration wait, stream_record &record)
+agent_stream::next_kind agent_stream::next(std::uint64_t generation, stream_record &record)
 {
-    std::unique_lock lock(m_mutex);
-    const auto ready = [&] {
-        const bool hasPiece = m_nextSeq < m_firstSeq + m_pieces.size();
-        return m_generation != generation || m_ended || hasPiece || (m_hasHead && !m_headSent);
-    };
-    if (!m_changed.wait_for(lock, wait, ready)) {
-        return next_kind::idle;
-    }
     if (m_generation != generation) {
         return next_kind::replaced;
     }
-    return takeNext(record) ? next_kind::record : next_kind::idle;
-}
-
-bool agent_stream::takeNext(stream_record &record)
-{
     if (m_hasHead && !m_headSent) {
         record = m_head;
         m_headSent = true;
-        return true;
+        return next_kind::record;
     }
     const auto index = static_cast<std::size_t>(m_nextSeq - m_firstSeq);
     if (index < m_pieces.size()) {
@@ -191,43 +150,27 @@
         record.seq = m_nextSeq++;
         record.data = piece.text;
         record.event = piece.event;
+        const bool wasFull = isFull();
         m_unsentBytes -= sizeOf(piece);
         trim();
-        m_changed.notify_all();
-        return true;
+        if (const auto room = m_room; room && wasFull && !isFull()) {
+            room();
+        }
+        return next_kind::record;
     }
     if (!m_ended) {
-        return false;
+        return next_kind::idle;
     }
     record = m_last;
-    return true;
+    return next_kind::record;
 }
 
 void agent_stream::detach(std::uint64_t generation, time_point now)
 {
-    const std::lock_guard lock(m_mutex);
     if (m_generation == generation) {
-        m_attached = false;
+        m_changed = nullptr;
         m_detachedAt = now;
     }
 }
 
-bool agent_stream::isDetachedSince(time_point time) const
-{
-    const std::lock_guard lock(m_mutex);
-    return !m_attached && m_detachedAt <= time;
-}
-
-bool agent_stream::isEnded() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_ended;
-}
-
-bool agent_stream::isComplete() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_ended && m_last.kind == record_kind::end;
-}
-
 } // namespace nutmegtally
--- a/programs/agent/agent_upstream.cpp
+++ b/programs/agent/agent_upstream.cpp
@@ -1,13 +1,16 @@
 #include "agent/agent_upstream.h"
 
+#include "daemon/daemon_clock.h"
 #include "daemon/daemon_log.h"
+#include "serving/socket_options.h"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace nutmegtally
 {
@@ -16,12 +19,11 @@
 {
 
 using json = nlohmann::json;
-using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
 
-constexpr std::size_t pieceBytes = std::size_t {16} * 1024; // of a body that is not a chat stream
 constexpr std::size_t maxBookingAnswerBytes = std::size_t {4} * 1024 * 1024; // a longer one counts as unknown
 constexpr duration engineRetryAfter = std::chrono::seconds(1);
+constexpr duration minWholeTimeout = std::chrono::seconds(1); // for a whole answer whose deadline is near
+constexpr const char *eventStreamType = "text/event-stream";
 
 /// True for a chunk that is more than a piece of text, so that it must reach the caller as it is.
 bool isSpecial(const json &chunk)
@@ -77,65 +79,296 @@
     return status >= 500 || status == 429;
 }
 
-} // namespace
+std::string contentTypeOf(const http_head &head)
+{
+    const std::string *type = head.find("content-type");
+    return type == nullptr ? std::string() : *type;
+}
+
+bool hasBody(const agent_stream &stream)
+{
+    return !stream.body().empty() || stream.header().method == "POST";
+}
+
+/// The request as the upstream gets it, but for the fields that only some calls have.
+std::string requestOf(const agent_stream &stream, const std::string &address, std::vector<header_field> more)
+{
+    const work_header &header = stream.header();
+    std::vector<header_field> fields {{"Host", address}, {"X-Request-Id", toHex(header.attempt.request.value())}};
+    std::move(more.begin(), more.end(), std::back_inserter(fields));
+    if (hasBody(stream)) {
+        fields.push_back({"Content-Length", std::to_string(stream.body().size())});
+    }
+    return requestText(header.method, header.path, fields) + stream.body();
+}
+
+std::vector<header_field> workFields(const agent_stream &stream, unsigned priority)
+{
+    const work_header &header = stream.header();
+    std::vector<header_field> fields;
+    if (header.info.kind == work_kind::chat) {
+        fields.push_back({"X-Priority", std::to_string(priority)});
+        if (header.info.chat.isValid()) {
+            // The engine's cache events name chats by this handle.
+            fields.push_back({"X-Nutmegtally-Chat", toHex(header.info.chat.value())});
+        }
+        fields.push_back({"Content-Type", "application/json"});
+    } else if (!header.contentType.empty()) {
+        fields.push_back({"Content-Type", header.contentType});
+    }
+    if (header.stream && stream.characters() > 0) {
+        fields.push_back({"X-Resume-Offset", std::to_string(stream.characters())});
+    }
+    if (!header.info.idempotencyKey.empty()) {
+        fields.push_back({"Idempotency-Key", header.info.idempotencyKey});
+    }
+    return fields;
+}
 
-/// Reads the chunks of a streamed chat. Lives through all connections of one attempt.
-class upstream_caller::chat_reader
+/// One call to the upstream over one connection, with a limit for the time without any byte.
+class upstream_call
 {
 public:
-    chat_reader(agent_stream &stream, const std::function<void()> &firstToken)
-        : m_stream(stream)
-        , m_firstToken(firstToken)
+    upstream_call(boost::asio::io_context &context, std::string address, duration connectTimeout)
+        : m_context(context)
+        , m_timer(context)
+        , m_address(std::move(address))
+        , m_connectTimeout(connectTimeout)
     {
     }
 
-    /// @param in Body of the engine's answer.
-    /// @return False if the body ended before the answer did.
-    bool read(std::istream &in, client_session &session, const upstream_options &options)
+    /// @param reused Open connection, or null to open one.
+    /// @return False if the upstream's address cannot be used.
+    bool start(upstream_connection::pointer reused, std::string request, bool isHead, upstream_connection::handlers handlers)
     {
-        std::string line;
-        while (readLine(in, line, options.maxLineBytes) == line_result::line) {
-            if (!take(line)) {
-                continue;
-            }
-            if (m_done) {
-                break;
-            }
-            session.socket().setReceiveTimeout(Poco::Timespan(options.tokenSilence.count()));
+        isPaused = false;
+        connection = std::move(reused);
+        if (connection) {
+            connection->send(std::move(request), isHead, std::move(handlers));
+            return true;
         }
-        if (!m_done && !m_sawFinish) {
+        const auto peer = parseEndpoint(m_address);
+        if (!peer) {
             return false;
         }
-        m_stream.finish(m_usage.promptTokens, m_usage.cachedTokens);
+        connection = std::make_shared<upstream_connection>(m_context);
+        connection->open(*peer, m_connectTimeout, std::move(request), isHead, std::move(handlers));
         return true;
     }
 
-    std::uint32_t pieces() const
+    /// Calls @p silent unless watch() is called again within the limit. A paused call only waits on.
+    template<typename Owner>
+    void watch(const std::shared_ptr<Owner> &owner, duration limit)
+    {
+        m_timer.expires_after(limit);
+        m_timer.async_wait([owner, this, limit](const boost::system::error_code &stopped) {
+            if (stopped) {
+                return;
+            }
+            if (isPaused) {
+                watch(owner, limit);
+                return;
+            }
+            owner->wentSilent();
+        });
+    }
+
+    void pauseIf(bool isFull)
+    {
+        if (isFull && connection) {
+            isPaused = true;
+            connection->pause(true);
+        }
+    }
+
+    void resume()
+    {
+        if (isPaused && connection) {
+            isPaused = false;
+            connection->pause(false);
+        }
+    }
+
+    /// Stops the time and gives up the connection without closing it.
+    upstream_connection::pointer release()
     {
-        return m_pieces;
+        m_timer.cancel();
+        return std::exchange(connection, nullptr);
     }
 
+    void close()
+    {
+        if (const auto open = release()) {
+            open->close();
+        }
+    }
+
+    upstream_connection::pointer connection;
+    bool isPaused = false; // the router reads slowly
+
 private:
-    /// @return True if the line brought a part of the answer.
-    bool take(const std::string &line)
+    boost::asio::io_context &m_context;
+    boost::asio::steady_timer m_timer;
+    std::string m_address;
+    duration m_connectTimeout;
+};
+
+} // namespace
+
+upstream_caller::upstream_caller(boost::asio::io_context &context, upstream_options options)
+    : m_shared(std::make_shared<shared_state>(context, std::move(options)))
+    , m_calls(context, steadyNow)
+{
+}
+
+/// A streamed chat, over as many connections as it takes.
+class upstream_caller::chat_run : public std::enable_shared_from_this<chat_run>
+{
+public:
+    chat_run(std::shared_ptr<shared_state> shared, stream_ptr stream, unsigned priority, std::function<void()> firstToken,
+             std::function<void(upstream_result)> done)
+        : m_shared(std::move(shared))
+        , m_stream(std::move(stream))
+        , m_priority(priority)
+        , m_firstToken(std::move(firstToken))
+        , m_done(std::move(done))
+        , m_call(m_shared->context, m_shared->options.address, m_shared->options.connectTimeout)
+    {
+    }
+
+    void start()
+    {
+        m_stream->watch([self = shared_from_this()] { self->m_call.resume(); }, [self = shared_from_this()] { self->cancelled(); });
+        connect();
+    }
+
+    void wentSilent()
+    {
+        m_call.close();
+        if (m_sawEnd) {
+            finish(true); // only the proper end of the body is missing
+            return;
+        }
+        broken();
+    }
+
+private:
+    void connect()
+    {
+        m_line.clear();
+        m_status = 0;
+        m_hadPart = false;
+        // A connection that broke may have taken others of the pool with it, so a resume opens a new one.
+        const bool isFirst = !std::exchange(m_isResume, true);
+        const std::string &address = m_shared->options.address;
+        upstream_connection::pointer reused = isFirst ? m_shared->pool.take(address, steadyNow()) : nullptr;
+        m_reached = m_reached || reused;
+        m_stream->markStarted();
+        m_call.watch(shared_from_this(), m_shared->options.firstTokenTimeout);
+        if (!m_call.start(std::move(reused), requestOf(*m_stream, address, workFields(*m_stream, m_priority)), false, handlers())) {
+            unreachable();
+        }
+    }
+
+    upstream_connection::handlers handlers()
+    {
+        upstream_connection::handlers handlers;
+        handlers.head = [self = shared_from_this()](const http_head &head) {
+            self->headCame(head);
+            return true;
+        };
+        handlers.body = [self = shared_from_this()](std::string &&piece) { self->received(std::move(piece)); };
+        handlers.done = [self = shared_from_this()](bool reusable) { self->bodyEnded(reusable); };
+        handlers.failed = [self = shared_from_this()](connection_failure failure) {
+            self->m_call.release();
+            if (failure == connection_failure::unreachable && !self->m_reached) {
+                self->unreachable();
+                return;
+            }
+            self->m_reached = true;
+            if (self->m_sawEnd) {
+                self->finish(true);
+            } else {
+                self->broken();
+            }
+        };
+        return handlers;
+    }
+
+    void headCame(const http_head &head)
+    {
+        m_reached = true;
+        m_status = head.status;
+        if (isEngineFailure(head.status)) {
+            refuse(error_code::upstreamFailed);
+        } else if (head.status != 200) {
+            stream_record record;
+            record.status = head.status;
+            record.contentType = contentTypeOf(head);
+            m_stream->setHead(std::move(record));
+        }
+    }
+
+    void received(std::string &&piece)
+    {
+        if (m_isOver) {
+            return;
+        }
+        if (m_status != 200) {
+            m_call.watch(shared_from_this(), m_shared->options.firstTokenTimeout);
+            m_stream->append({std::move(piece), {}});
+            m_call.pauseIf(m_stream->isFull());
+            return;
+        }
+        m_line += piece;
+        try {
+            takeLines();
+        } catch (const std::exception &) {
+            refuse(error_code::upstreamFailed); // not a chat answer
+            return;
+        }
+        m_call.watch(shared_from_this(), m_hadPart ? m_shared->options.tokenSilence : m_shared->options.firstTokenTimeout);
+        if (m_isDone) {
+            // From the loop: the body usually ends with these bytes, and its connection is then free for the next work.
+            boost::asio::post(m_shared->context, [self = shared_from_this()] { self->finish(true); });
+            return;
+        }
+        m_call.pauseIf(m_stream->isFull());
+    }
+
+    void takeLines()
+    {
+        std::size_t begin = 0;
+        for (std::size_t at = m_line.find('\n'); at != std::string::npos && !m_isDone; at = m_line.find('\n', begin)) {
+            takeLine(std::string_view(m_line).substr(begin, at - begin));
+            begin = at + 1;
+        }
+        m_line.erase(0, begin);
+        if (m_line.size() > m_shared->options.maxLineBytes) {
+            throw error(error_code::upstreamFailed, "a line is too long", run_state::unknown);
+        }
+    }
+
+    void takeLine(std::string_view line)
     {
         static constexpr std::string_view prefix = "data:";
-        if (line.compare(0, prefix.size(), prefix) != 0) {
-            return false;
+        if (line.substr(0, prefix.size()) != prefix) {
+            return;
         }
         const std::size_t begin = line.find_first_not_of(' ', prefix.size());
         const std::size_t end = line.find_last_not_of("\r ");
-        const std::string payload = begin == std::string::npos ? std::string() : line.substr(begin, end + 1 - begin);
+        const std::string payload(begin == std::string_view::npos ? std::string_view() : line.substr(begin, end + 1 - begin));
+        m_hadPart = true;
         if (payload == "[DONE]") {
-            m_done = true;
-            return true;
+            m_isDone = true;
+            m_sawEnd = true;
+            return;
         }
         const json chunk = json::parse(payload);
         if (chunk.contains("error")) {
             throw error(error_code::upstreamFailed, "the engine reported an error within its answer", run_state::unknown);
         }
         takeChunk(chunk, payload);
-        return true;
     }
 
     void takeChunk(const json &chunk, const std::string &payload)
@@ -148,283 +381,339 @@
         const bool special = isSpecial(chunk);
         const bool usageOnly = hasUsage && chunk.value("choices", json::array()).empty();
         std::string text = textOf(chunk);
-        if ((text.empty() && !special) || (usageOnly && !m_stream.header().usage)) {
+        if ((text.empty() && !special) || (usageOnly && !m_stream->header().usage)) {
             return;
         }
-        m_sawFinish = m_sawFinish
-                      || (special && !usageOnly && !chunk.at("choices").empty()
-                          && !chunk.at("choices").front().value("finish_reason", json()).is_null());
+        m_sawEnd = m_sawEnd
+                   || (special && !usageOnly && !chunk.at("choices").empty()
+                       && !chunk.at("choices").front().value("finish_reason", json()).is_null());
         if (!text.empty() && ++m_pieces == 1) {
             m_firstToken();
         }
-        m_stream.append({std::move(text), special ? payload : std::string()});
+        m_stream->append({std::move(text), special ? payload : std::string()});
     }
 
     void sendHead(const json &chunk)
     {
-        if (m_headSent) {
+        if (std::exchange(m_headSent, true)) {
             return;
         }
-        m_headSent = true;
         stream_record head;
-        head.contentType = "text/event-stream";
+        head.contentType = eventStreamType;
         head.answerId = chunk.value("id", std::string());
         head.model = chunk.value("model", std::string());
-        m_stream.setHead(std::move(head));
+        m_stream->setHead(std::move(head));
+    }
+
+    void bodyEnded(bool reusable)
+    {
+        const upstream_connection::pointer connection = m_call.release();
+        if (reusable) {
+            m_shared->pool.give(m_shared->options.address, connection, steadyNow());
+        }
+        if (m_isOver) {
+            return;
+        }
+        if (m_status != 200 || m_sawEnd) {
+            finish(true);
+        } else {
+            broken(); // the body ended before the answer did
+        }
+    }
+
+    void broken()
+    {
+        if (m_isOver) {
+            return;
+        }
+        if (m_pieces > m_seen) {
+            m_seen = m_pieces;
+            m_resumes = 0;
+        }
+        logEvent(log_event::streamSilent, "request=" + toHex(m_stream->header().attempt.request.value()) + " side=upstream");
+        if (m_resumes >= m_shared->options.maxResumes) {
+            refuse(m_seen > 0 ? error_code::streamLost : error_code::upstreamFailed);
+            return;
+        }
+        ++m_resumes;
+        connect();
+    }
+
+    void unreachable()
+    {
+        m_stream->refuse(error_code::upstreamFailed, run_state::notRun, engineRetryAfter);
+        finish(false);
+    }
+
+    void refuse(error_code code)
+    {
+        m_call.close();
+        m_stream->refuse(code, run_state::unknown, engineRetryAfter);
+        finish(false);
+    }
+
+    void cancelled()
+    {
+        m_call.close();
+        finish(true);
+    }
+
+    void finish(bool ok)
+    {
+        if (std::exchange(m_isOver, true)) {
+            return;
+        }
+        if (ok && !m_stream->isCancelled()) {
+            m_stream->finish(m_usage.promptTokens, m_usage.cachedTokens);
+        }
+        m_stream->watch(nullptr, nullptr);
+        m_done({ok, m_pieces});
     }
 
-    agent_stream &m_stream;
-    const std::function<void()> &m_firstToken;
+    std::shared_ptr<shared_state> m_shared;
+    stream_ptr m_stream;
+    unsigned m_priority;
+    std::function<void()> m_firstToken;
+    std::function<void(upstream_result)> m_done;
+    upstream_call m_call;
+    int m_status = 0; // of the answer on the current connection
+    std::string m_line; // begin of the next line
     token_usage m_usage;
     std::uint32_t m_pieces = 0;
+    std::uint32_t m_seen = 0; // pieces when the last connection broke
+    unsigned m_resumes = 0; // without a new piece
+    bool m_isResume = false;
+    bool m_reached = false; // a byte of the request may have reached the upstream
+    bool m_hadPart = false; // on the current connection
     bool m_headSent = false;
-    bool m_done = false;
-    bool m_sawFinish = false;
+    bool m_isDone = false; // the last line came
+    bool m_sawEnd = false; // the answer is whole, with or without its last line
+    bool m_isOver = false;
 };
 
-upstream_caller::upstream_caller(upstream_options options)
-    : m_options(std::move(options))
-    , m_pool(m_options.connectTimeout)
+/// A chat that is answered as a whole, or a read of a plain service.
+class upstream_caller::whole_run : public std::enable_shared_from_this<whole_run>
 {
-}
-
-upstream_result upstream_caller::run(agent_stream &stream, unsigned priority, const std::function<void()> &firstToken)
-{
-    if (!stream.header().stream) {
-        return runWhole(stream, priority);
+public:
+    whole_run(std::shared_ptr<shared_state> shared, stream_ptr stream, unsigned priority, std::function<void(upstream_result)> done)
+        : m_shared(std::move(shared))
+        , m_stream(std::move(stream))
+        , m_priority(priority)
+        , m_done(std::move(done))
+        , m_call(m_shared->context, m_shared->options.address, m_shared->options.connectTimeout)
+        , m_isChat(m_stream->header().info.kind == work_kind::chat)
+        , m_silence(std::max<duration>(m_stream->header().info.deadline.time_since_epoch(), minWholeTimeout))
+    {
     }
-    chat_reader reader(stream, firstToken);
-    std::uint32_t seen = 0;
-    for (unsigned resumes = 0; resumes <= m_options.maxResumes; ++resumes) {
-        if (streamOnce(reader, stream, priority) == try_result::finished) {
-            return {stream.isComplete(), reader.pieces()};
-        }
-        if (stream.isCancelled()) {
-            return {true, reader.pieces()};
-        }
-        if (reader.pieces() > seen) {
-            seen = reader.pieces();
-            resumes = 0;
+
+    void start()
+    {
+        m_stream->watch([self = shared_from_this()] { self->m_call.resume(); },
+                        [self = shared_from_this()] {
+                            self->m_call.close();
+                            self->finish(true);
+                        });
+        m_stream->markStarted();
+        upstream_connection::handlers handlers;
+        handlers.head = [self = shared_from_this()](const http_head &head) {
+            self->headCame(head);
+            return true;
+        };
+        handlers.body = [self = shared_from_this()](std::string &&piece) { self->received(std::move(piece)); };
+        handlers.done = [self = shared_from_this()](bool reusable) { self->bodyEnded(reusable); };
+        handlers.failed = [self = shared_from_this()](connection_failure failure) {
+            self->m_call.release();
+            self->refuse(failure == connection_failure::unreachable ? run_state::notRun : run_state::unknown);
+        };
+        const std::string &address = m_shared->options.address;
+        m_call.watch(shared_from_this(), m_silence);
+        if (!m_call.start(m_shared->pool.take(address, steadyNow()), requestOf(*m_stream, address, workFields(*m_stream, m_priority)),
+                          m_stream->header().method == "HEAD", std::move(handlers))) {
+            refuse(run_state::notRun);
         }
-        logEvent(log_event::streamSilent, "request=" + toHex(stream.header().attempt.request.value()) + " side=upstream");
     }
-    stream.refuse(seen > 0 ? error_code::streamLost : error_code::upstreamFailed, run_state::unknown, engineRetryAfter);
-    return {false, reader.pieces()};
-}
 
-upstream_caller::try_result upstream_caller::streamOnce(chat_reader &reader, agent_stream &stream, unsigned priority)
-{
-    std::unique_ptr<client_session> session;
-    try {
-        // A connection that broke may have taken others of the pool with it, so a resume opens a new one.
-        session = m_pool.take(m_options.address, m_options.firstTokenTimeout, stream.wasStarted());
-    } catch (const Poco::Exception &) {
-        if (stream.wasStarted()) {
-            return try_result::broken;
-        }
-        stream.refuse(error_code::upstreamFailed, run_state::notRun, engineRetryAfter);
-        return try_result::finished;
-    }
-    if (!stream.setSession(session.get())) {
-        stream.setSession(nullptr);
-        return try_result::broken;
-    }
-    stream.markStarted();
-    auto result = try_result::broken;
-    try {
-        HTTPResponse response;
-        std::istream &in = send(*session, stream, priority, response);
-        if (isEngineFailure(response.getStatus())) {
-            stream.refuse(error_code::upstreamFailed, run_state::unknown, engineRetryAfter);
-            result = try_result::finished;
-        } else if (response.getStatus() != HTTPResponse::HTTP_OK) {
-            copyBody(*session, in, response, stream);
-            stream.finish(0, 0);
-            result = try_result::finished;
-        } else if (reader.read(in, *session, m_options)) {
-            result = try_result::finished;
-            stream.setSession(nullptr);
-            while (!readSome(in, pieceBytes).empty()) { }
-            m_pool.give(m_options.address, std::move(session));
-        }
-    } catch (const Poco::Exception &) {
-        result = try_result::broken; // time-out or broken connection
-    } catch (const std::exception &) {
-        stream.refuse(error_code::upstreamFailed, run_state::unknown, engineRetryAfter); // not a chat answer
-        result = try_result::finished;
-    }
-    stream.setSession(nullptr);
-    return stream.isEnded() ? try_result::finished : result;
-}
-
-upstream_result upstream_caller::runWhole(agent_stream &stream, unsigned priority)
-{
-    std::unique_ptr<client_session> session;
-    try {
-        const duration limit = stream.header().info.deadline.time_since_epoch();
-        session = m_pool.take(m_options.address, std::max<duration>(limit, std::chrono::seconds(1)));
-    } catch (const Poco::Exception &) {
-        stream.refuse(error_code::upstreamFailed, run_state::notRun, engineRetryAfter);
-        return {};
+    void wentSilent()
+    {
+        m_call.close();
+        refuse(run_state::unknown);
     }
-    if (!stream.setSession(session.get())) {
-        stream.setSession(nullptr);
-        return {true, 0};
-    }
-    stream.markStarted();
-    upstream_result result;
-    try {
-        HTTPResponse response;
-        std::istream &in = send(*session, stream, priority, response);
-        if (stream.header().info.kind == work_kind::chat && isEngineFailure(response.getStatus())) {
-            throw error(error_code::upstreamFailed, {}, run_state::unknown);
-        }
-        copyBody(*session, in, response, stream);
-        result.ok = true;
-        stream.setSession(nullptr);
-        m_pool.give(m_options.address, std::move(session));
-    } catch (const std::exception &) {
-        stream.refuse(error_code::upstreamFailed, run_state::unknown, engineRetryAfter);
-    }
-    stream.setSession(nullptr);
-    return result;
-}
 
-std::istream &upstream_caller::send(client_session &session, const agent_stream &stream, unsigned priority, HTTPResponse &response)
-{
-    const work_header &header = stream.header();
-    const bool isChat = header.info.kind == work_kind::chat;
-    HTTPRequest request(header.method, header.path, HTTPRequest::HTTP_1_1);
-    request.set("X-Request-Id", toHex(header.attempt.request.value()));
-    if (isChat) {
-        request.set("X-Priority", std::to_string(priority));
-        if (header.info.chat.isValid()) {
-            // The engine's cache events name chats by this handle.
-            request.set("X-Nutmegtally-Chat", toHex(header.info.chat.value()));
+private:
+    void headCame(const http_head &head)
+    {
+        m_status = head.status;
+        if (m_isChat && isEngineFailure(m_status)) {
+            m_call.close();
+            refuse(run_state::unknown);
+            return;
         }
-        request.setContentType("application/json");
-    } else if (!header.contentType.empty()) {
-        request.setContentType(header.contentType);
+        stream_record record;
+        record.status = head.status;
+        record.contentType = contentTypeOf(head);
+        m_stream->setHead(std::move(record));
     }
-    if (header.stream && stream.characters() > 0) {
-        request.set("X-Resume-Offset", std::to_string(stream.characters()));
+
+    void received(std::string &&piece)
+    {
+        m_call.watch(shared_from_this(), m_silence);
+        if (m_isChat && m_whole.size() <= m_shared->options.maxLineBytes) {
+            m_whole += piece;
+        }
+        m_stream->append({std::move(piece), {}});
+        m_call.pauseIf(m_stream->isFull());
     }
-    if (!header.info.idempotencyKey.empty()) {
-        request.set("Idempotency-Key", header.info.idempotencyKey);
+
+    void bodyEnded(bool reusable)
+    {
+        const upstream_connection::pointer connection = m_call.release();
+        if (reusable) {
+            m_shared->pool.give(m_shared->options.address, connection, steadyNow());
+        }
+        // The counts of an answer beyond the line limit are not worth the memory.
+        token_usage usage;
+        if (m_isChat && m_status == 200 && m_whole.size() <= m_shared->options.maxLineBytes) {
+            const json answer = json::parse(m_whole, nullptr, false);
+            if (answer.is_discarded()) {
+                refuse(run_state::unknown);
+                return;
+            }
+            usage = usageOf(answer);
+        }
+        m_stream->finish(usage.promptTokens, usage.cachedTokens);
+        finish(true);
     }
-    const bool hasBody = !stream.body().empty() || header.method == HTTPRequest::HTTP_POST;
-    if (hasBody) {
-        request.setContentLength64(static_cast<Poco::Int64>(stream.body().size()));
+
+    void refuse(run_state state)
+    {
+        m_stream->refuse(error_code::upstreamFailed, state, engineRetryAfter);
+        finish(false);
     }
-    std::ostream &out = session.sendRequest(request);
-    out.write(stream.body().data(), static_cast<std::streamsize>(stream.body().size()));
-    out.flush();
-    return session.receiveResponse(response);
-}
 
-void upstream_caller::copyBody(client_session &session, std::istream &in, const HTTPResponse &response, agent_stream &stream)
-{
-    stream_record head;
-    head.status = response.getStatus();
-    head.contentType = response.getContentType() == HTTPResponse::UNKNOWN_CONTENT_TYPE ? "" : response.getContentType();
-    stream.setHead(std::move(head));
-    std::uint64_t bytes = 0;
-    std::string whole; // of a chat, for its token counts
-    const bool isChat = stream.header().info.kind == work_kind::chat;
-    for (std::string part = readSome(in, pieceBytes); !part.empty(); part = readSome(in, pieceBytes)) {
-        bytes += part.size();
-        if (isChat && whole.size() <= m_options.maxLineBytes) {
-            whole += part;
-        }
-        if (!stream.append({std::move(part), {}})) {
+    void finish(bool ok)
+    {
+        if (std::exchange(m_isOver, true)) {
             return;
         }
+        m_stream->watch(nullptr, nullptr);
+        m_done({ok, 0});
     }
-    const bool hasLength = response.hasContentLength() && stream.header().method != HTTPRequest::HTTP_HEAD;
-    const bool closedEarly = response.getChunkedTransferEncoding() && response.getKeepAlive() && session.isStale();
-    if ((hasLength && static_cast<std::uint64_t>(response.getContentLength64()) != bytes) || closedEarly) {
-        throw error(error_code::upstreamFailed, "the answer broke off", run_state::unknown);
-    }
-    // The counts of an answer beyond the line limit are not worth the memory.
-    const bool readCounts = isChat && response.getStatus() == HTTPResponse::HTTP_OK && whole.size() <= m_options.maxLineBytes;
-    const token_usage usage = readCounts ? usageOf(json::parse(whole)) : token_usage();
-    stream.finish(usage.promptTokens, usage.cachedTokens);
-}
 
-service_answer upstream_caller::book(const agent_stream &stream, const std::string &key, std::uint64_t fencing, duration limit)
+    std::shared_ptr<shared_state> m_shared;
+    stream_ptr m_stream;
+    unsigned m_priority;
+    std::function<void(upstream_result)> m_done;
+    upstream_call m_call;
+    bool m_isChat;
+    duration m_silence;
+    int m_status = 0;
+    std::string m_whole; // of a chat, for its token counts
+    bool m_isOver = false;
+};
+
+class upstream_caller::booking_run : public std::enable_shared_from_this<booking_run>
 {
-    service_answer answer;
-    std::unique_ptr<client_session> session;
-    try {
-        session = m_pool.take(m_options.address, std::max<duration>(limit, std::chrono::milliseconds(1)), true);
-    } catch (const Poco::Exception &) {
-        answer.state = run_state::notRun;
-        return answer;
+public:
+    booking_run(const std::shared_ptr<shared_state> &shared, std::function<void(service_answer)> done)
+        : m_done(std::move(done))
+        , m_call(shared->context, shared->options.address, shared->options.connectTimeout)
+    {
     }
-    const work_header &header = stream.header();
-    try {
-        HTTPRequest request(header.method, header.path, HTTPRequest::HTTP_1_1);
-        request.set("X-Request-Id", toHex(header.attempt.request.value()));
-        request.set("Idempotency-Key", key);
-        request.set("X-Nutmegtally-Fencing", std::to_string(fencing));
-        if (!header.contentType.empty()) {
-            request.setContentType(header.contentType);
-        }
-        request.setContentLength64(static_cast<Poco::Int64>(stream.body().size()));
-        std::ostream &out = session->sendRequest(request);
-        out.write(stream.body().data(), static_cast<std::streamsize>(stream.body().size()));
-        out.flush();
-        HTTPResponse response;
-        std::istream &in = session->receiveResponse(response);
-        for (std::string part = readSome(in, pieceBytes); !part.empty(); part = readSome(in, pieceBytes)) {
-            answer.body += part;
-            if (answer.body.size() > maxBookingAnswerBytes) {
-                return answer;
+
+    void start(std::string request, duration limit)
+    {
+        upstream_connection::handlers handlers;
+        handlers.head = [self = shared_from_this()](const http_head &head) {
+            self->m_answer.status = head.status;
+            self->m_answer.contentType = contentTypeOf(head);
+            return true;
+        };
+        handlers.body = [self = shared_from_this()](std::string &&piece) {
+            self->m_answer.body += piece;
+            if (self->m_answer.body.size() > maxBookingAnswerBytes) {
+                self->wentSilent();
             }
+        };
+        handlers.done = [self = shared_from_this()](bool) { self->finish(run_state::ran); };
+        handlers.failed = [self = shared_from_this()](connection_failure failure) {
+            self->finish(failure == connection_failure::unreachable ? run_state::notRun : run_state::unknown);
+        };
+        m_call.watch(shared_from_this(), limit);
+        if (!m_call.start(nullptr, std::move(request), false, std::move(handlers))) {
+            finish(run_state::notRun);
         }
-        if (response.hasContentLength() && static_cast<std::uint64_t>(response.getContentLength64()) != answer.body.size()) {
-            return answer;
+    }
+
+    void wentSilent()
+    {
+        finish(run_state::unknown);
+    }
+
+private:
+    void finish(run_state state)
+    {
+        m_call.close();
+        if (const auto done = std::exchange(m_done, nullptr)) {
+            m_answer.state = state;
+            done(std::move(m_answer));
         }
-        answer.status = response.getStatus();
-        answer.contentType = response.getContentType() == HTTPResponse::UNKNOWN_CONTENT_TYPE ? "" : response.getContentType();
-        answer.state = run_state::ran;
-    } catch (const Poco::Exception &) {
-        answer.state = run_state::unknown;
     }
-    return answer;
-}
 
-void upstream_caller::cancel(request_id request)
+    std::function<void(service_answer)> m_done; // empty once the answer was given
+    upstream_call m_call;
+    service_answer m_answer;
+};
+
+void upstream_caller::run(const stream_ptr &stream, unsigned priority, std::function<void()> firstToken,
+                          std::function<void(upstream_result)> done)
 {
-    try {
-        const std::unique_ptr<client_session> session = m_pool.take(m_options.address, m_options.connectTimeout, true);
-        HTTPRequest call(HTTPRequest::HTTP_DELETE, "/v1/requests/" + toHex(request.value()), HTTPRequest::HTTP_1_1);
-        session->sendRequest(call);
-        HTTPResponse response;
-        session->receiveResponse(response);
-    } catch (const Poco::Exception &) {
-        return; // the closed connection tells the engine the same
+    m_shared->pool.checkTime(steadyNow());
+    if (stream->header().stream) {
+        std::make_shared<chat_run>(m_shared, stream, priority, std::move(firstToken), std::move(done))->start();
+    } else {
+        std::make_shared<whole_run>(m_shared, stream, priority, std::move(done))->start();
     }
 }
 
-std::optional<upstream_load> upstream_caller::readLoad()
+void upstream_caller::book(const stream_ptr &stream, const std::string &key, std::uint64_t fencing, duration limit,
+                           std::function<void(service_answer)> done)
 {
-    try {
-        std::unique_ptr<client_session> session = m_pool.take(m_options.address, m_options.connectTimeout);
-        HTTPRequest call(HTTPRequest::HTTP_GET, "/load", HTTPRequest::HTTP_1_1);
-        session->sendRequest(call);
-        HTTPResponse response;
-        std::istream &in = session->receiveResponse(response);
-        std::string text;
-        for (std::string part = readSome(in, pieceBytes); !part.empty(); part = readSome(in, pieceBytes)) {
-            text += part;
-        }
-        const json load = json::parse(text);
-        m_pool.give(m_options.address, std::move(session));
-        return upstream_load {load.value("incarnation", std::uint64_t {0}), load.value("running", 0U)};
-    } catch (const std::exception &) {
-        return {};
+    std::vector<header_field> fields {{"Idempotency-Key", key}, {"X-Nutmegtally-Fencing", std::to_string(fencing)}};
+    if (!stream->header().contentType.empty()) {
+        fields.push_back({"Content-Type", stream->header().contentType});
     }
+    std::make_shared<booking_run>(m_shared, std::move(done))
+        ->start(requestOf(*stream, m_shared->options.address, std::move(fields)), std::max<duration>(limit, std::chrono::milliseconds(1)));
+}
+
+void upstream_caller::cancel(request_id request)
+{
+    call_request call;
+    call.address = m_shared->options.address;
+    call.method = "DELETE";
+    call.target = "/v1/requests/" + toHex(request.value());
+    call.timeout = m_shared->options.connectTimeout;
+    m_calls.call(call, [request](const call_result &result) {
+        if (result.status == 0) {
+            logEvent(log_event::cancelFailed, "request=" + toHex(request.value()) + " side=upstream why=\"" + result.failure + "\"");
+        }
+    });
+}
+
+void upstream_caller::readLoad(std::function<void(std::optional<upstream_load>)> done)
+{
+    call_request call;
+    call.address = m_shared->options.address;
+    call.target = "/load";
+    call.timeout = m_shared->options.connectTimeout;
+    m_calls.call(call, [done = std::move(done)](const call_result &result) {
+        const json load = json::parse(result.body, nullptr, false);
+        if (result.status != 200 || !load.is_object()) {
+            done({});
+            return;
+        }
+        done(upstream_load {load.value("incarnation", std::uint64_t {0}), load.value("running", 0U)});
+    });
 }
 
 } // namespace nutmegtally
--- a/programs/agent/agent_upstream.h
+++ b/programs/agent/agent_upstream.h
@@ -1,14 +1,18 @@
 // Calls of the agent to its upstream: chats with resume after a broken or silent connection, calls of plain services,
-// cancellation and load reports.
+// bookings, cancellation and load reports. Used in the event loop only.
 #pragma once
 
 #include "agent/agent_stream.h"
-#include "daemon/daemon_http.h"
+#include "serving/call_client.h"
+#include "serving/connection_pool.h"
 
 #include <nutmegtally/time.h>
 
+#include <boost/asio/io_context.hpp>
+
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -46,37 +50,47 @@
 class upstream_caller
 {
 public:
-    explicit upstream_caller(upstream_options options);
+    using stream_ptr = std::shared_ptr<agent_stream>;
+
+    upstream_caller(boost::asio::io_context &context, upstream_options options);
 
     /// Runs the work and feeds the stream until it has ended.
     /// @param firstToken Called once, when a streamed chat's first token arrives.
-    upstream_result run(agent_stream &stream, unsigned priority, const std::function<void()> &firstToken);
+    /// @param done Called once.
+    void run(const stream_ptr &stream, unsigned priority, std::function<void()> firstToken, std::function<void(upstream_result)> done);
 
     /// Sends a booking once, over a new connection so that a closed one cannot leave its state unknown.
     /// @param key Idempotency-Key.
-    service_answer book(const agent_stream &stream, const std::string &key, std::uint64_t fencing, duration limit);
+    /// @param done Called once.
+    void book(const stream_ptr &stream, const std::string &key, std::uint64_t fencing, duration limit,
+              std::function<void(service_answer)> done);
 
-    /// Cancels a request at the engine. Failures are ignored: the closed connection tells the engine the same.
+    /// Cancels a request at the engine. A failure is only logged: the closed connection tells the engine the same.
     void cancel(request_id request);
 
-    /// @return Nothing if the upstream does not answer.
-    std::optional<upstream_load> readLoad();
+    /// @param done Gets nothing if the upstream does not answer.
+    void readLoad(std::function<void(std::optional<upstream_load>)> done);
 
 private:
-    class chat_reader;
-    enum class try_result : std::uint8_t {
-        finished, // the stream has its end or its refusal
-        broken, // may be resumed
-        count
+    class chat_run;
+    class whole_run;
+    class booking_run;
+
+    /// What all calls share.
+    struct shared_state {
+        shared_state(boost::asio::io_context &loop, upstream_options limits)
+            : context(loop)
+            , options(std::move(limits))
+        {
+        }
+
+        boost::asio::io_context &context;
+        upstream_options options;
+        connection_pool pool;
     };
 
-    try_result streamOnce(chat_reader &reader, agent_stream &stream, unsigned priority);
-    upstream_result runWhole(agent_stream &stream, unsigned priority);
-    std::istream &send(client_session &session, const agent_stream &stream, unsigned priority, Poco::Net::HTTPResponse &response);
-    void copyBody(client_session &session, std::istream &in, const Poco::Net::HTTPResponse &response, agent_stream &stream);
-
-    upstream_options m_options;
-    session_pool m_pool;
+    std::shared_ptr<shared_state> m_shared;
+    call_client m_calls;
 };
 
 } // namespace nutmegtally
--- a/programs/daemon/daemon_status.cpp
+++ b/programs/daemon/daemon_status.cpp
@@ -7,29 +7,28 @@
 {
 
 constexpr const char *plainText = "text/plain; charset=utf-8";
+constexpr unsigned maxStatusConnections = 32; // a few scrapers and health checks
 
 } // namespace
 
-http_handler statusHandler(const daemon_metrics &metrics, readiness notReady, std::function<void()> refresh)
+std::unique_ptr<exchange_server> startStatusServer(event_loop &loop, const std::string &address, const daemon_metrics &metrics,
+                                                   readiness notReady, std::function<void()> refresh)
 {
-    return [&metrics, notReady = std::move(notReady), refresh = std::move(refresh)](http_exchange &exchange) {
-        const std::string path = exchange.path();
+    const auto serve = [&metrics, notReady = std::move(notReady), refresh = std::move(refresh)](const http_exchange::pointer &exchange) {
+        const std::string path = exchange->path();
         if (path == "/healthz") {
-            exchange.reply(200, plainText, "ok\n");
-            return;
-        }
-        if (path == "/readyz") {
+            exchange->reply(200, plainText, "ok\n");
+        } else if (path == "/readyz") {
             const std::string reason = notReady();
-            exchange.reply(reason.empty() ? 200 : 503, plainText, reason.empty() ? "ready\n" : reason + "\n");
-            return;
-        }
-        if (path == "/metrics") {
+            exchange->reply(reason.empty() ? 200 : 503, plainText, reason.empty() ? "ready\n" : reason + "\n");
+        } else if (path == "/metrics") {
             refresh();
-            exchange.reply(200, "text/plain; version=0.0.4; charset=utf-8", metrics.text());
-            return;
+            exchange->reply(200, "text/plain; version=0.0.4; charset=utf-8", metrics.text());
+        } else {
+            exchange->reply(404, plainText, "the status listener serves /healthz, /readyz and /metrics\n");
         }
-        exchange.reply(404, plainText, "the status listener serves /healthz, /readyz and /metrics\n");
     };
+    return startServer(loop, address, http_limits {.maxConnections = maxStatusConnections}, serve);
 }
 
 } // namespace nutmegtally
--- a/programs/daemon/daemon_status.h
+++ b/programs/daemon/daemon_status.h
@@ -13,8 +13,9 @@
 /// Why a daemon is not ready; empty if it is ready.
 using readiness = std::function<std::string()>;
 
-/// Handler of the status listener.
+/// Starts the status listener.
 /// @param refresh Called before each scrape to set gauges.
-http_handler statusHandler(const daemon_metrics &metrics, readiness notReady, std::function<void()> refresh);
+std::unique_ptr<exchange_server> startStatusServer(event_loop &loop, const std::string &address, const daemon_metrics &metrics,
+                                                   readiness notReady, std::function<void()> refresh);
 
 } // namespace nutmegtally
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -124,14 +124,15 @@
         }
         m_serving.accept(std::move(socket));
     });
-    m_readyServer = std::make_unique<call_server>(context, settings.readyListen, clock,
-                                                  [this](const http_head &head, const std::string &) { return answerReady(head); });
-    m_routerServer
-        = std::make_unique<call_server>(context, settings.routersListen, clock,
-                                        [this](const http_head &head, const std::string &body) { return answerRouter(head, body); });
+    const auto serve = [&context, clock](const std::string &address, std::function<own_answer(const http_exchange &)> answer) {
+        return std::make_unique<exchange_server>(
+            context, address, server_limits(), clock,
+            [answer = std::move(answer)](const http_exchange::pointer &exchange) { exchange->reply(answer(*exchange)); });
+    };
+    m_readyServer = serve(settings.readyListen, [this](const http_exchange &) { return answerReady(); });
+    m_routerServer = serve(settings.routersListen, [this](const http_exchange &question) { return answerRouter(question); });
     if (!settings.metricsListen.empty()) {
-        m_metricsServer = std::make_unique<call_server>(context, settings.metricsListen, clock,
-                                                        [this](const http_head &head, const std::string &) { return answerMetrics(head); });
+        m_metricsServer = serve(settings.metricsListen, [this](const http_exchange &question) { return answerMetrics(question.target()); });
     }
     const auto loadEndpoint = parseEndpoint(settings.loadListen);
     if (!loadEndpoint) {
@@ -421,14 +422,14 @@
                                     });
 }
 
-own_answer entry_daemon::answerRouter(const http_head &head, const std::string &body)
+own_answer entry_daemon::answerRouter(const http_exchange &asked)
 {
-    if (head.target != routersPath) {
+    if (asked.target() != routersPath) {
         return plainAnswer(404, "this listener serves other routers\n");
     }
     news_message question;
     try {
-        question = decodeNews(unpack(body));
+        question = decodeNews(unpack(asked.body()));
     } catch (const std::exception &fault) {
         return plainAnswer(400, std::string(fault.what()) + '\n');
     }
@@ -460,14 +461,14 @@
     return !m_shutdownSince && m_serving.decisions().hasRules() && m_followers[static_cast<std::size_t>(followed::upstreams)].isComplete();
 }
 
-own_answer entry_daemon::answerReady(const http_head &) const
+own_answer entry_daemon::answerReady() const
 {
     return isReady() ? plainAnswer(200, "ready\n") : plainAnswer(503, "not ready\n");
 }
 
-own_answer entry_daemon::answerMetrics(const http_head &head)
+own_answer entry_daemon::answerMetrics(const std::string &target)
 {
-    if (head.target != "/metrics") {
+    if (target != "/metrics") {
         return plainAnswer(404, "this listener serves /metrics\n");
     }
     const entry_core &decisions = m_serving.decisions();
@@ -499,11 +500,6 @@
         hasContact = hasContact && m_followers[i].hasContact();
     }
     apply(news_event::tick {hasContact});
-    m_readyServer->checkTime(now());
-    m_routerServer->checkTime(now());
-    if (m_metricsServer) {
-        m_metricsServer->checkTime(now());
-    }
     if (isReady() && !m_wasReady) {
         m_wasReady = true;
         carryOut(log_record {log_event::daemonReady, {}});
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -9,6 +9,7 @@
 #include "entry/news_codec.h"
 #include "platform/request_codec.h"
 #include "serving/call_client.h"
+#include "serving/exchange_server.h"
 #include "serving/listener.h"
 #include "serving/serving_core.h"
 
@@ -71,14 +72,14 @@
     std::vector<kind_digest> ownDigests() const;
     void takeDatagram(const router_datagram &datagram);
     void takeNews(const news_message &message);
-    own_answer answerRouter(const http_head &head, const std::string &body);
+    own_answer answerRouter(const http_exchange &asked);
 
     void listHeldParts(const entry_effect::list_held_parts &listed);
     void tellLoad();
     void hearLoad();
 
-    own_answer answerReady(const http_head &head) const;
-    own_answer answerMetrics(const http_head &head);
+    own_answer answerReady() const;
+    own_answer answerMetrics(const std::string &target);
     bool isReady() const;
     void tick();
     void awaitSignals();
@@ -101,9 +102,9 @@
     boost::asio::ip::udp::endpoint m_loadSender; // of the datagram that is received
     std::array<char, 8192> m_datagram;
     std::unique_ptr<listener> m_callers;
-    std::unique_ptr<call_server> m_readyServer;
-    std::unique_ptr<call_server> m_routerServer;
-    std::unique_ptr<call_server> m_metricsServer;
+    std::unique_ptr<exchange_server> m_readyServer;
+    std::unique_ptr<exchange_server> m_routerServer;
+    std::unique_ptr<exchange_server> m_metricsServer;
     std::optional<time_point> m_shutdownSince;
     time_point m_lastTick;
     bool m_wantsPrompts; // no router has told where prompts are cached
--- a/programs/router/router_answer.cpp
+++ b/programs/router/router_answer.cpp
@@ -16,19 +16,19 @@
 
 } // namespace
 
-caller_answer::caller_answer(http_exchange &exchange, bool stream, std::string request, std::size_t bufferBytes)
-    : m_exchange(exchange)
+caller_answer::caller_answer(http_exchange::pointer exchange, bool stream, std::string request, std::size_t bufferBytes)
+    : m_exchange(std::move(exchange))
     , m_stream(stream)
     , m_request(std::move(request))
     , m_bufferBytes(bufferBytes)
 {
-    m_exchange.setHeader("X-Nutmegtally-Request", m_request);
+    m_exchange->setHeader("X-Nutmegtally-Request", m_request);
 }
 
 void caller_answer::setToken(const std::string &token)
 {
     if (!token.empty() && !hasStarted()) {
-        m_exchange.setHeader("X-Nutmegtally-Token", token);
+        m_exchange->setHeader("X-Nutmegtally-Token", token);
     }
 }
 
@@ -46,7 +46,7 @@
     m_head = record;
     m_asEvents = m_stream && record.status == 200 && record.contentType == eventStream;
     if (!record.outcome.empty()) {
-        m_exchange.setHeader("X-Nutmegtally-Outcome", record.outcome);
+        m_exchange->setHeader("X-Nutmegtally-Outcome", record.outcome);
     }
     if (m_asEvents) {
         const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -61,37 +61,38 @@
     }
 }
 
-bool caller_answer::data(const stream_record &record)
+void caller_answer::data(const stream_record &record)
 {
     if (m_asEvents) {
-        return sendEvent(record);
+        sendEvent(record);
+        return;
     }
     if (hasStarted()) {
-        return m_exchange.write(record.data);
+        m_exchange->write(record.data);
+        return;
     }
     m_body += record.data;
-    if (m_body.size() <= m_bufferBytes) {
-        return true;
+    if (m_body.size() > m_bufferBytes) {
+        m_exchange->startStream(m_head.status, m_head.contentType);
+        m_exchange->write(m_body);
+        m_body = std::string();
     }
-    m_exchange.startStream(m_head.status, m_head.contentType);
-    const bool sent = m_exchange.write(m_body);
-    m_body = std::string();
-    return sent;
 }
 
 void caller_answer::startEvents()
 {
     if (!hasStarted()) {
-        m_exchange.setHeader("Cache-Control", "no-store");
-        m_exchange.startStream(200, eventStream);
+        m_exchange->setHeader("Cache-Control", "no-store");
+        m_exchange->startStream(200, eventStream);
     }
 }
 
-bool caller_answer::sendEvent(const stream_record &record)
+void caller_answer::sendEvent(const stream_record &record)
 {
     startEvents();
     if (!record.event.empty()) {
-        return m_exchange.write("data: " + record.event + "\n\n");
+        m_exchange->write("data: " + record.event + "\n\n");
+        return;
     }
     std::string event = m_chunkPrefix;
     if (m_firstChunk) {
@@ -101,37 +102,34 @@
     event += R"("content":)";
     event += json(record.data).dump(-1, ' ', false, json::error_handler_t::replace);
     event += "}}]}\n\n";
-    return m_exchange.write(event);
+    m_exchange->write(event);
 }
 
-bool caller_answer::finish()
+void caller_answer::finish()
 {
     if (m_asEvents) {
         startEvents();
-        return m_exchange.write("data: [DONE]\n\n");
+        m_exchange->write("data: [DONE]\n\n");
     }
-    if (!hasStarted()) {
-        m_exchange.reply(m_head.status, m_head.contentType, m_body);
+    if (hasStarted()) {
+        m_exchange->endStream();
+    } else {
+        m_exchange->reply(m_head.status, m_head.contentType, m_body);
     }
-    return true;
 }
 
 void caller_answer::fail(const error &fault)
 {
     if (!hasStarted()) {
-        m_exchange.replyError(fault, m_request);
+        replyError(*m_exchange, fault, m_request);
         return;
     }
     if (m_asEvents) {
-        m_exchange.write("event: error\ndata: " + errorBody(fault, m_request) + "\n\n");
+        m_exchange->write("event: error\ndata: " + errorBody(fault, m_request) + "\n\n");
+        m_exchange->endStream();
         return;
     }
-    m_exchange.abort();
-}
-
-bool caller_answer::isCallerGone()
-{
-    return m_exchange.isPeerGone();
+    m_exchange->abort();
 }
 
 } // namespace nutmegtally
--- a/programs/router/router_answer.h
+++ b/programs/router/router_answer.h
@@ -15,7 +15,7 @@
 {
 public:
     /// @param bufferBytes Part of a whole answer that is held back until its check.
-    caller_answer(http_exchange &exchange, bool stream, std::string request, std::size_t bufferBytes);
+    caller_answer(http_exchange::pointer exchange, bool stream, std::string request, std::size_t bufferBytes);
 
     /// Routing token for the answer's headers. Without effect once the answer has started.
     void setToken(const std::string &token);
@@ -23,29 +23,31 @@
     /// Forgets what an attempt brought. Only valid before the answer has started.
     void reset();
     void head(const stream_record &record);
+    void data(const stream_record &record);
 
-    /// @return False if the caller is gone.
-    bool data(const stream_record &record);
-
-    /// The answer is complete and checked. @return False if the caller is gone.
-    bool finish();
+    /// The answer is complete and checked.
+    void finish();
 
     /// Ends the answer with an error, in the form that fits how far it has come.
     void fail(const error &fault);
 
-    bool isCallerGone();
-
     /// True once a byte went to the caller.
     bool hasStarted() const
     {
-        return m_exchange.isStarted();
+        return m_exchange->isStarted();
+    }
+
+    /// Bytes that the caller has not taken yet.
+    std::size_t waitingOutput() const
+    {
+        return m_exchange->waitingOutput();
     }
 
 private:
-    bool sendEvent(const stream_record &record);
+    void sendEvent(const stream_record &record);
     void startEvents();
 
-    http_exchange &m_exchange;
+    http_exchange::pointer m_exchange;
     bool m_stream;
     std::string m_request;
     std::size_t m_bufferBytes;
--- a/programs/router/router_attempt.cpp
+++ b/programs/router/router_attempt.cpp
@@ -2,13 +2,13 @@
 
 #include "daemon/daemon_clock.h"
 #include "daemon/daemon_log.h"
+#include "serving/serving_limits.h"
+#include "serving/socket_options.h"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmegtally
 {
@@ -16,16 +16,13 @@
 namespace
 {
 
-using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
-
 constexpr std::size_t maxRecordBytes = std::size_t {4} * 1024 * 1024; // a special chunk of an engine is the longest
 constexpr std::size_t maxRefusalBytes = std::size_t {64} * 1024;
+constexpr duration cancelTimeout = std::chrono::seconds(2); // the agent cancels a stream that nobody resumes anyway
 
 /// Reads the typed error of an answer that is not a record stream.
-void readRefusal(std::istream &in, attempt_result &result)
+void readRefusal(const std::string &text, attempt_result &result)
 {
-    const std::string text = readSome(in, maxRefusalBytes);
     const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
     const nlohmann::json fault = body.is_object() ? body.value("error", nlohmann::json::object()) : nlohmann::json::object();
     if (!fault.is_object()) {
@@ -38,15 +35,15 @@
 
 } // namespace
 
-attempt_runner::attempt_runner(session_pool &pool, const message_authenticator &authenticator, attempt_options options, std::string address,
-                               work_header work, const std::string &body, const attempt_observer &observer)
-    : m_pool(pool)
-    , m_authenticator(authenticator)
+attempt_runner::attempt_runner(const attempt_context &context, attempt_options options, std::string address, work_header work,
+                               std::string body, attempt_observer observer)
+    : m_context(context)
     , m_options(options)
     , m_address(std::move(address))
     , m_work(std::move(work))
-    , m_body(body)
-    , m_observer(observer)
+    , m_body(std::move(body))
+    , m_observer(std::move(observer))
+    , m_silence(context.loop)
 {
 }
 
@@ -61,96 +58,125 @@
            + " agent=" + m_address;
 }
 
-bool attempt_runner::end(attempt_outcome outcome)
+void attempt_runner::start(const std::shared_ptr<caller_answer> &answer)
 {
-    m_result.outcome = outcome;
-    return true;
+    m_answer = answer;
+    connect();
 }
 
-attempt_result attempt_runner::run(caller_answer &answer)
+std::string attempt_runner::requestText() const
 {
-    while (runConnection(answer) == connection_end::broken) {
-        if (timeLeft() <= duration(0)) {
-            end(attempt_outcome::deadlinePassed);
-            break;
-        }
-        if (!m_reachedAgent || m_resumes++ >= m_options.maxResumes) {
-            m_result.state = m_reachedAgent ? run_state::unknown : run_state::notRun;
-            end(attempt_outcome::failed);
-            break;
-        }
-        // Connections that went silent usually do so together: a resume takes a new one.
-        m_pool.drop(m_address);
-        m_work.resume = true;
-        m_observer.resumed();
-    }
-    return m_result;
+    work_header header = m_work;
+    header.info.deadline = time_point(std::max(timeLeft(), duration(0)));
+    nlohmann::json fields = toJson(header);
+    m_context.authenticator.sign("POST", workPath, fields, m_body);
+    return nutmegtally::requestText("POST", workPath,
+                                    {{"Host", m_address},
+                                     {workHeaderName, fields.dump()},
+                                     {"Content-Type", "application/octet-stream"},
+                                     {"Content-Length", std::to_string(m_body.size())}})
+           + m_body;
 }
 
-attempt_runner::connection_end attempt_runner::runConnection(caller_answer &answer)
+void attempt_runner::connect()
 {
-    std::unique_ptr<client_session> session;
-    try {
-        session = m_pool.take(m_address, m_options.streamSilence, m_work.resume);
-    } catch (const Poco::Exception &) {
-        return connection_end::broken; // no byte was sent over this connection
-    }
     m_checksum = stream_checksum();
-    try {
+    m_input.clear();
+    m_status = 0;
+    m_isPaused = false;
+    watchSilence();
+    // Connections that went silent usually do so together: a resume takes a new one.
+    m_connection = m_work.resume ? nullptr : m_context.pool.take(m_address, steadyNow());
+    if (m_connection) {
         m_reachedAgent = true;
-        std::istream *in = send(*session);
-        if (in == nullptr) {
-            return connection_end::done;
-        }
-        const connection_end result = readRecords(*in, answer);
-        if (result == connection_end::done && m_result.outcome != attempt_outcome::callerGone
-            && m_result.outcome != attempt_outcome::deadlinePassed) {
-            keep(std::move(session), *in);
+        m_connection->send(requestText(), false, handlers());
+        return;
+    }
+    const auto peer = parseEndpoint(m_address);
+    if (!peer) {
+        logEvent(log_event::internalFault, describe() + " fault=\"not an address\"");
+        m_result.state = run_state::notRun;
+        end(attempt_outcome::failed);
+        return;
+    }
+    m_connection = std::make_shared<upstream_connection>(m_context.loop);
+    m_connection->open(*peer, m_options.connectTimeout, requestText(), false, handlers());
+}
+
+upstream_connection::handlers attempt_runner::handlers()
+{
+    upstream_connection::handlers handlers;
+    handlers.head = [self = shared_from_this()](const http_head &head) {
+        self->m_status = head.status;
+        self->m_reachedAgent = true;
+        return true;
+    };
+    handlers.body = [self = shared_from_this()](std::string &&piece) { self->received(std::move(piece)); };
+    handlers.done = [self = shared_from_this()](bool reusable) { self->answerDone(reusable); };
+    handlers.failed = [self = shared_from_this()](connection_failure failure) {
+        self->m_reachedAgent = self->m_reachedAgent || failure != connection_failure::unreachable;
+        self->m_connection.reset();
+        self->connectionBroken();
+    };
+    return handlers;
+}
+
+void attempt_runner::watchSilence()
+{
+    m_silence.expires_after(m_options.streamSilence);
+    m_silence.async_wait([self = shared_from_this()](const boost::system::error_code &fault) {
+        if (!fault) {
+            self->wentSilent();
         }
-        return result;
-    } catch (const Poco::TimeoutException &) {
-        logEvent(log_event::streamSilent, describe());
-        m_observer.silent();
-        return connection_end::broken;
-    } catch (const Poco::Exception &) {
-        return connection_end::broken;
+    });
+}
+
+void attempt_runner::wentSilent()
+{
+    if (m_isPaused) {
+        watchSilence(); // nothing is read, so nothing can come
+        return;
+    }
+    closeConnection();
+    if (m_isOver) {
+        return; // only the proper end of a complete answer is missing
     }
+    logEvent(log_event::streamSilent, describe());
+    m_observer.silent();
+    connectionBroken();
 }
 
-std::istream *attempt_runner::send(client_session &session)
+void attempt_runner::closeConnection()
 {
-    work_header header = m_work;
-    header.info.deadline = time_point(std::max(timeLeft(), duration(0)));
-    nlohmann::json fields = toJson(header);
-    m_authenticator.sign("POST", workPath, fields, m_body);
-    HTTPRequest request(HTTPRequest::HTTP_POST, workPath, HTTPRequest::HTTP_1_1);
-    request.set(workHeaderName, fields.dump());
-    request.setContentType("application/octet-stream");
-    request.setContentLength64(static_cast<Poco::Int64>(m_body.size()));
-    std::ostream &out = session.sendRequest(request);
-    out.write(m_body.data(), static_cast<std::streamsize>(m_body.size()));
-    out.flush();
-    HTTPResponse response;
-    std::istream &in = session.receiveResponse(response);
-    if (response.getStatus() != HTTPResponse::HTTP_OK) {
-        readRefusal(in, m_result);
-        end(m_result.state == run_state::notRun && !m_work.resume ? attempt_outcome::refused : attempt_outcome::failed);
-        return nullptr;
+    m_silence.cancel();
+    if (m_connection) {
+        m_reachedAgent = m_reachedAgent || m_connection->isOpen();
+        m_connection->close();
+        m_connection.reset();
     }
-    return &in;
 }
 
-void attempt_runner::keep(std::unique_ptr<client_session> session, std::istream &in)
+void attempt_runner::received(std::string &&piece)
 {
-    if (readSome(in, 1).empty()) {
-        m_pool.give(m_address, std::move(session));
+    watchSilence();
+    if (m_isOver) {
+        return;
+    }
+    m_input += piece;
+    if (m_status == 200) {
+        readRecords();
+    } else if (m_input.size() > maxRefusalBytes) {
+        closeConnection();
+        connectionBroken();
     }
 }
 
-attempt_runner::connection_end attempt_runner::readRecords(std::istream &in, caller_answer &answer)
+void attempt_runner::readRecords()
 {
-    std::string line;
-    while (readLine(in, line, maxRecordBytes) == line_result::line) {
+    std::size_t begin = 0;
+    for (std::size_t at = m_input.find('\n'); at != std::string::npos; at = m_input.find('\n', begin)) {
+        const std::string_view line = std::string_view(m_input).substr(begin, at - begin);
+        begin = at + 1;
         stream_record record;
         try {
             record = decodeRecord(line);
@@ -159,36 +185,100 @@
         }
         if (record.request != m_work.attempt.request) {
             logEvent(log_event::streamCorrupt, describe() + " reason=request");
-            return connection_end::broken;
-        }
-        if (take(record, answer)) {
-            return connection_end::done;
+            closeConnection();
+            connectionBroken();
+            return;
         }
-        if (answer.isCallerGone()) {
-            end(attempt_outcome::callerGone);
-            return connection_end::done;
-        }
-        if (timeLeft() <= duration(0)) {
-            end(attempt_outcome::deadlinePassed);
-            return connection_end::done;
+        if (take(record)) {
+            return;
         }
     }
-    return connection_end::broken;
+    m_input.erase(0, begin);
+    if (m_input.size() > maxRecordBytes) {
+        logEvent(log_event::streamCorrupt, describe() + " reason=length");
+        closeConnection();
+        connectionBroken();
+        return;
+    }
+    if (m_answer->waitingOutput() > serving_limits::outputBytes && m_connection) {
+        m_isPaused = true;
+        m_connection->pause(true);
+    }
+}
+
+void attempt_runner::resumeReading()
+{
+    if (m_isPaused && m_connection) {
+        m_isPaused = false;
+        watchSilence();
+        m_connection->pause(false);
+    }
 }
 
-bool attempt_runner::take(const stream_record &record, caller_answer &answer)
+void attempt_runner::answerDone(bool reusable)
+{
+    m_silence.cancel();
+    const upstream_connection::pointer connection = std::move(m_connection);
+    if (reusable) {
+        m_context.pool.give(m_address, connection, steadyNow());
+    }
+    if (m_isOver) {
+        return;
+    }
+    if (m_status == 200) {
+        connectionBroken(); // the records end without their last one
+        return;
+    }
+    readRefusal(m_input, m_result);
+    end(m_result.state == run_state::notRun && !m_work.resume ? attempt_outcome::refused : attempt_outcome::failed);
+}
+
+void attempt_runner::connectionBroken()
+{
+    m_silence.cancel();
+    if (m_isOver) {
+        return;
+    }
+    if (timeLeft() <= duration(0)) {
+        end(attempt_outcome::deadlinePassed);
+        return;
+    }
+    if (!m_reachedAgent || m_resumes >= m_options.maxResumes) {
+        m_result.state = m_reachedAgent ? run_state::unknown : run_state::notRun;
+        end(attempt_outcome::failed);
+        return;
+    }
+    ++m_resumes;
+    m_context.pool.drop(m_address);
+    m_work.resume = true;
+    m_observer.resumed();
+    connect();
+}
+
+bool attempt_runner::end(attempt_outcome outcome)
+{
+    if (!m_isOver) {
+        m_isOver = true;
+        m_result.outcome = outcome;
+        m_observer.ended(m_result);
+    }
+    return true;
+}
+
+/// @return True if the attempt has its result.
+bool attempt_runner::take(const stream_record &record)
 {
     if (record.kind == record_kind::keepalive) {
         return false;
     }
     if (record.kind == record_kind::data) {
-        return takeData(record, answer);
+        return takeData(record);
     }
     m_result.hasLoad = true;
     m_result.load = record.load;
     m_observer.versionSeen(record.configVersion);
     if (record.kind == record_kind::head) {
-        answer.head(record);
+        m_answer->head(record);
         if (!m_sawHead) {
             m_sawHead = true;
             m_observer.started(record.load);
@@ -196,7 +286,7 @@
         return false;
     }
     if (record.kind == record_kind::end) {
-        return takeEnd(record, answer);
+        return takeEnd(record);
     }
     m_result.why = {record.code, record.retryAfter};
     m_result.owner = record.owner;
@@ -204,27 +294,27 @@
     return end(record.state == run_state::notRun && !m_sawHead ? attempt_outcome::refused : attempt_outcome::failed);
 }
 
-bool attempt_runner::takeData(const stream_record &record, caller_answer &answer)
+bool attempt_runner::takeData(const stream_record &record)
 {
     if (record.seq != m_work.resumeSeq) {
         logEvent(log_event::streamCorrupt, describe() + " reason=sequence");
-        throw Poco::Net::HTTPException("a record is missing");
+        closeConnection();
+        connectionBroken();
+        return true;
     }
     m_checksum.add(record.data);
     if (!m_sawData) {
         m_sawData = true;
         m_observer.firstData();
     }
-    if (!answer.data(record)) {
-        return end(attempt_outcome::callerGone);
-    }
+    m_answer->data(record);
     ++m_work.resumeSeq;
     m_work.offset += countCharacters(record.data);
     m_resumes = 0;
     return false;
 }
 
-bool attempt_runner::takeEnd(const stream_record &record, caller_answer &answer)
+bool attempt_runner::takeEnd(const stream_record &record)
 {
     const bool valid = record.seq == m_work.resumeSeq && record.bytes == m_checksum.bytes() && record.checksum == m_checksum.value();
     if (!valid) {
@@ -235,25 +325,31 @@
     }
     m_result.promptTokens = record.promptTokens;
     m_result.cachedTokens = record.cachedTokens;
-    return end(answer.finish() ? attempt_outcome::finished : attempt_outcome::callerGone);
+    m_answer->finish();
+    return end(attempt_outcome::finished);
 }
 
 void attempt_runner::cancel()
 {
-    try {
-        const std::string path = std::string(workPath) + "/" + toHex(m_work.attempt.request.value()) + "/" + toHex(m_work.attempt.attempt);
-        nlohmann::json fields = nlohmann::json::object();
-        m_authenticator.sign("DELETE", path, fields, "");
-        HTTPRequest request(HTTPRequest::HTTP_DELETE, path, HTTPRequest::HTTP_1_1);
-        request.set(workHeaderName, fields.dump());
-        std::unique_ptr<client_session> session = m_pool.take(m_address, m_options.streamSilence, true);
-        session->sendRequest(request);
-        HTTPResponse response;
-        session->receiveResponse(response);
-        m_pool.give(m_address, std::move(session));
-    } catch (const Poco::Exception &) {
-        return; // the agent cancels a stream that nobody resumes
+    const bool wasOver = std::exchange(m_isOver, true);
+    closeConnection();
+    if (wasOver || !m_reachedAgent) {
+        return;
     }
+    const std::string path = std::string(workPath) + "/" + toHex(m_work.attempt.request.value()) + "/" + toHex(m_work.attempt.attempt);
+    nlohmann::json fields = nlohmann::json::object();
+    m_context.authenticator.sign("DELETE", path, fields, "");
+    call_request call;
+    call.address = m_address;
+    call.method = "DELETE";
+    call.target = path;
+    call.fields = {{workHeaderName, fields.dump()}};
+    call.timeout = cancelTimeout;
+    m_context.calls.call(call, [text = describe()](const call_result &result) {
+        if (result.status != 204) {
+            logEvent(log_event::cancelFailed, text + " status=" + std::to_string(result.status) + " why=\"" + result.failure + "\"");
+        }
+    });
 }
 
 } // namespace nutmegtally
--- a/programs/router/router_attempt.h
+++ b/programs/router/router_attempt.h
@@ -3,14 +3,19 @@
 #pragma once
 
 #include "daemon/daemon_access.h"
-#include "daemon/daemon_http.h"
 #include "daemon/daemon_records.h"
 #include "router/router_answer.h"
+#include "serving/call_client.h"
+#include "serving/connection_pool.h"
 
 #include <nutmegtally/work.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace nutmegtally
@@ -20,7 +25,6 @@
     finished, // the answer is complete and checked, and went to the caller
     refused, // no byte reached the upstream
     failed,
-    callerGone,
     deadlinePassed,
     count
 };
@@ -38,6 +42,7 @@
 
 struct attempt_options {
     duration streamSilence = std::chrono::seconds(2);
+    duration connectTimeout = std::chrono::seconds(1);
     unsigned maxResumes = 3;
 };
 
@@ -48,56 +53,80 @@
     std::function<void()> firstData;
     std::function<void()> silent;
     std::function<void()> resumed;
+    std::function<void(const attempt_result &)> ended; // once, unless the attempt was cancelled
+};
+
+/// Connections and keys that all attempts share.
+struct attempt_context {
+    boost::asio::io_context &loop;
+    connection_pool &pool;
+    call_client &calls;
+    const message_authenticator &authenticator;
 };
 
-class attempt_runner
+class attempt_runner : public std::enable_shared_from_this<attempt_runner>
 {
 public:
+    using pointer = std::shared_ptr<attempt_runner>;
+
     /// @param address Agent's listener.
     /// @param work Its deadline is a time of the steady clock.
-    attempt_runner(session_pool &pool, const message_authenticator &authenticator, attempt_options options, std::string address,
-                   work_header work, const std::string &body, const attempt_observer &observer);
+    attempt_runner(const attempt_context &context, attempt_options options, std::string address, work_header work, std::string body,
+                   attempt_observer observer);
 
-    attempt_result run(caller_answer &answer);
+    void start(const std::shared_ptr<caller_answer> &answer);
 
-    /// Tells the agent that the caller is gone.
+    /// Gives up and tells the agent that the caller is gone. Nothing is reported afterwards.
     void cancel();
 
+    /// The caller has taken what was waiting for it.
+    void resumeReading();
+
+    /// The result was reported, or the attempt was cancelled.
+    bool isOver() const
+    {
+        return m_isOver;
+    }
+
 private:
-    enum class connection_end : std::uint8_t {
-        done, // m_result holds the result
-        broken,
-        count
-    };
-
-    connection_end runConnection(caller_answer &answer);
-
-    /// @return The body of the record stream, or null if the agent refused with a typed error; m_result holds it then.
-    std::istream *send(client_session &session);
-    connection_end readRecords(std::istream &in, caller_answer &answer);
-
-    /// Returns the connection to the pool if its answer has ended.
-    void keep(std::unique_ptr<client_session> session, std::istream &in);
-    bool take(const stream_record &record, caller_answer &answer);
-    bool takeData(const stream_record &record, caller_answer &answer);
-    bool takeEnd(const stream_record &record, caller_answer &answer);
+    void connect();
+    std::string requestText() const;
+    upstream_connection::handlers handlers();
+    void received(std::string &&piece);
+    void readRecords();
+    void answerDone(bool reusable);
+    void connectionBroken();
+
+    /// Restarts the time without any byte after which a connection counts as silent.
+    void watchSilence();
+    void wentSilent();
+    bool take(const stream_record &record);
+    bool takeData(const stream_record &record);
+    bool takeEnd(const stream_record &record);
     bool end(attempt_outcome outcome);
+    void closeConnection();
     duration timeLeft() const;
     std::string describe() const;
 
-    session_pool &m_pool;
-    const message_authenticator &m_authenticator;
+    attempt_context m_context;
     attempt_options m_options;
     std::string m_address;
     work_header m_work;
-    const std::string &m_body;
-    const attempt_observer &m_observer;
-    attempt_result m_result;
+    std::string m_body;
+    attempt_observer m_observer;
+    std::shared_ptr<caller_answer> m_answer;
+    upstream_connection::pointer m_connection;
+    boost::asio::steady_timer m_silence;
+    int m_status = 0; // of the agent's answer on the current connection
+    std::string m_input; // of that answer, not used yet
     stream_checksum m_checksum; // of the current connection
-    bool m_reachedAgent = false;
+    attempt_result m_result;
+    unsigned m_resumes = 0; // since the last data record
+    bool m_reachedAgent = false; // a byte of the work may have reached the agent
     bool m_sawHead = false;
     bool m_sawData = false;
-    unsigned m_resumes = 0; // since the last data record
+    bool m_isPaused = false; // the caller reads slowly
+    bool m_isOver = false;
 };
 
 } // namespace nutmegtally
--- a/programs/router/router_request.cpp
+++ b/programs/router/router_request.cpp
@@ -99,13 +99,13 @@
     return 0;
 }
 
-void readChat(http_exchange &exchange, const request_context &context, caller_request &request)
+void readChat(const http_exchange &exchange, const request_context &context, caller_request &request)
 {
     if (exchange.method() != "POST") {
         throw error(error_code::malformedRequest, "use POST");
     }
     const std::string chatName = hint(exchange, "X-Nutmegtally-Chat");
-    request.body = exchange.readBody();
+    request.body = exchange.body();
     const json chat = parseChat(request.body);
     const model_id model = model_id::fromName(chat.at("model").get<std::string>());
     if (context.config.findModel(model) == nullptr) {
@@ -134,7 +134,7 @@
     }
 }
 
-void readServiceCall(http_exchange &exchange, const request_context &context, caller_request &request)
+void readServiceCall(const http_exchange &exchange, const request_context &context, caller_request &request)
 {
     const std::string rest = exchange.target().substr(servicesPrefix.size());
     const std::string serviceName = rest.substr(0, rest.find_first_of("/?"));
@@ -167,7 +167,7 @@
             throw error(error_code::keyInvalid);
         }
     }
-    request.body = exchange.readBody();
+    request.body = exchange.body();
     if (info.kind == work_kind::booking) {
         info.bodyHash = hashText(exchange.method() + "\n" + request.work.path + "\n" + request.body);
     }
@@ -175,8 +175,11 @@
 
 } // namespace
 
-caller_request readCallerRequest(http_exchange &exchange, request_id id, const request_context &context)
+caller_request readCallerRequest(const http_exchange &exchange, request_id id, const request_context &context)
 {
+    for (const char *name : {"X-Nutmegtally-Chat", "X-Nutmegtally-Class", "X-Nutmegtally-Token"}) {
+        hint(exchange, name); // refuses a long one also where it has no meaning
+    }
     caller_request request;
     request.id = id;
     request_info &info = request.work.info;
--- a/programs/router/router_request.h
+++ b/programs/router/router_request.h
@@ -28,8 +28,8 @@
 };
 
 /// @param id Identifies the request in the answer and in logs.
-/// @throws error malformedRequest, unknownAccount, unknownClass, unknownModel, unknownService, keyMissing, keyInvalid, bodyTooLarge
-caller_request readCallerRequest(http_exchange &exchange, request_id id, const request_context &context);
+/// @throws error malformedRequest, unknownAccount, unknownClass, unknownModel, unknownService, keyMissing, keyInvalid
+caller_request readCallerRequest(const http_exchange &exchange, request_id id, const request_context &context);
 
 /// True for the textual form of a UUID version 7.
 bool isUuidVersion7(std::string_view text);
--- a/programs/serving/call_client.cpp
+++ b/programs/serving/call_client.cpp
@@ -52,6 +52,7 @@
 std::string textOf(const call_request &request)
 {
     std::vector<header_field> fields {{"Host", request.address}};
+    fields.insert(fields.end(), request.fields.begin(), request.fields.end());
     if (!request.body.empty()) {
         fields.push_back({"Content-Type", "application/json"});
         fields.push_back({"Content-Length", std::to_string(request.body.size())});
--- a/programs/serving/call_client.h
+++ b/programs/serving/call_client.h
@@ -1,7 +1,7 @@
 // Short calls with whole answers: to the platform's object API and to other routers.
 #pragma once
 
-#include "serving/upstream_pool.h"
+#include "serving/connection_pool.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -16,6 +16,7 @@
     std::string address; // IP number and port
     std::string method = "GET";
     std::string target;
+    std::vector<header_field> fields; // besides those of host and framing
     std::string body; // JSON; sent with a type if not empty
     duration timeout = std::chrono::seconds(1); // to the answer's first byte, and from then on without any
 };
@@ -42,7 +43,7 @@
 private:
     boost::asio::io_context &m_context;
     std::function<time_point()> m_now;
-    std::shared_ptr<upstream_pool> m_pool = std::make_shared<upstream_pool>();
+    std::shared_ptr<connection_pool> m_pool = std::make_shared<connection_pool>();
     std::uint64_t m_calls = 0;
 };
 
--- a/programs/serving/client_connection.cpp
+++ b/programs/serving/client_connection.cpp
@@ -18,7 +18,7 @@
 
 void client_connection::start()
 {
-    tuneSocket(m_socket);
+    tuneSocket(m_socket, m_owner->sendTimeout);
     m_quietSince = m_owner->now();
     read();
 }
--- a/programs/serving/client_connection.h
+++ b/programs/serving/client_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "serving/http_message.h"
+#include "serving/serving_limits.h"
 
 #include <nutmegtally/time.h>
 #include <nutmegtally/traffic_rules.h>
@@ -39,6 +40,7 @@
         /// Limits in force now.
         std::function<const caller_limits &()> limits;
         std::function<time_point()> now;
+        duration sendTimeout = serving_limits::userTimeout; // a caller that takes nothing for this time counts as gone
     };
 
     client_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<const handlers> owner);
--- a/programs/serving/upstream_pool.cpp
+++ b/programs/serving/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "serving/upstream_pool.h"
+#include "serving/connection_pool.h"
 
 #include "serving/serving_limits.h"
 
@@ -7,7 +7,7 @@
 namespace nutmegtally
 {
 
-upstream_connection::pointer upstream_pool::take(const std::string &upstream, time_point now)
+upstream_connection::pointer connection_pool::take(const std::string &upstream, time_point now)
 {
     const auto found = m_idle->find(upstream);
     if (found == m_idle->end()) {
@@ -30,7 +30,7 @@
     return taken;
 }
 
-void upstream_pool::give(const std::string &upstream, const upstream_connection::pointer &connection, time_point now)
+void connection_pool::give(const std::string &upstream, const upstream_connection::pointer &connection, time_point now)
 {
     const duration stated = connection->statedIdle();
     const duration usable = stated.count() > 0 ? stated - std::min(serving_limits::idleMargin, stated / 2) : serving_limits::idleDefault;
@@ -52,7 +52,19 @@
     });
 }
 
-void upstream_pool::checkTime(time_point now)
+void connection_pool::drop(const std::string &upstream)
+{
+    const auto found = m_idle->find(upstream);
+    if (found == m_idle->end()) {
+        return;
+    }
+    for (const entry &each : found->second) {
+        each.connection->close();
+    }
+    m_idle->erase(found);
+}
+
+void connection_pool::checkTime(time_point now)
 {
     for (auto it = m_idle->begin(); it != m_idle->end();) {
         std::erase_if(it->second, [now](const entry &each) {
@@ -66,7 +78,7 @@
     }
 }
 
-std::size_t upstream_pool::size() const
+std::size_t connection_pool::size() const
 {
     std::size_t count = 0;
     for (const auto &[upstream, idle] : *m_idle) {
--- a/programs/serving/upstream_pool.h
+++ b/programs/serving/connection_pool.h
@@ -14,7 +14,7 @@
 namespace nutmegtally
 {
 
-class upstream_pool
+class connection_pool
 {
 public:
     /// Takes the connection to an upstream that was used last.
@@ -25,6 +25,9 @@
     /// Keeps a connection for the next request.
     void give(const std::string &upstream, const upstream_connection::pointer &connection, time_point now);
 
+    /// Closes the idle connections to an upstream.
+    void drop(const std::string &upstream);
+
     /// Closes connections before their upstreams would.
     void checkTime(time_point now);
 
--- a/programs/serving/http_message.h
+++ b/programs/serving/http_message.h
@@ -47,6 +47,13 @@
 /// Reads a decimal number without sign or spaces.
 std::optional<std::uint64_t> parseDecimal(std::string_view text);
 
+/// An answer that the process makes itself.
+struct own_answer {
+    int status = 503;
+    std::vector<header_field> fields; // without framing fields
+    std::string body;
+};
+
 /// Why a message was not accepted.
 struct message_fault {
     int status = 400; // for a request: what the caller is told
--- a/programs/serving/listener.cpp
+++ b/programs/serving/listener.cpp
@@ -1,5 +1,8 @@
 #include "serving/listener.h"
 
+#include "serving/serving_limits.h"
+#include "serving/socket_options.h"
+
 namespace nutmegtally
 {
 
@@ -46,37 +49,4 @@
     m_pause.cancel();
 }
 
-call_server::call_server(boost::asio::io_context &context, const std::string &address, std::function<time_point()> now, handler serve)
-    : m_serve(std::move(serve))
-    , m_listener(context, address, [this](boost::asio::ip::tcp::socket socket) {
-        auto client = std::make_shared<client_connection>(std::move(socket), m_handlers);
-        m_clients.insert(client);
-        client->start();
-    })
-{
-    const auto reply = [](const client_connection::pointer &client, const own_answer &answer) {
-        client->answer(answer.status, reasonOf(answer.status), answer.fields, answer.body);
-    };
-    m_handlers->request = [this, reply](const client_connection::pointer &client, http_head &&head, std::string &&body) {
-        reply(client, m_serve(head, body));
-    };
-    m_handlers->malformed = [reply](const client_connection::pointer &client, const message_fault &fault) {
-        reply(client, own_answer {fault.status, {}, fault.text + '\n'});
-    };
-    m_handlers->left = [](const client_connection::pointer &) {};
-    m_handlers->closed = [this](const client_connection::pointer &client) { m_clients.erase(client); };
-    m_handlers->drained = [](const client_connection::pointer &) {};
-    m_handlers->isStopping = [] { return false; };
-    m_handlers->limits = [this]() -> const caller_limits & { return m_limits; };
-    m_handlers->now = std::move(now);
-}
-
-void call_server::checkTime(time_point now)
-{
-    const std::vector<client_connection::pointer> clients(m_clients.begin(), m_clients.end());
-    for (const client_connection::pointer &client : clients) {
-        client->checkTime(now);
-    }
-}
-
 } // namespace nutmegtally
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "serving/client_connection.h"
+#include "serving/connection_pool.h"
 #include "serving/event_stream.h"
 #include "serving/serving_limits.h"
 #include "serving/socket_options.h"
-#include "serving/upstream_pool.h"
 
 #include <nutmegtally/entry_core.h>
 #include <nutmegtally/log_line.h>
@@ -34,13 +34,6 @@
     std::optional<std::string> requestId; // the request that it says it belongs to
 };
 
-/// Own answer as a codec writes it.
-struct own_answer {
-    int status = 503;
-    std::vector<header_field> fields;
-    std::string body;
-};
-
 template<typename C>
 concept request_codec
     = requires(const C codec, const http_head &head, const std::string &id, std::size_t bytes, const entry_effect::start_attempt &attempt,
@@ -173,7 +166,7 @@
     std::unordered_set<client_connection::pointer> m_clients;
     std::unordered_map<exchange_id, relay> m_relays;
     std::unordered_map<client_connection *, exchange_id> m_exchangeOf; // a caller's connection has one request at a time
-    upstream_pool m_pool;
+    connection_pool m_pool;
     boost::asio::steady_timer m_tickTimer;
     time_point m_sweptAt;
     exchange_id m_lastExchange = 0;
--- a/programs/serving/serving_limits.h
+++ b/programs/serving/serving_limits.h
@@ -18,7 +18,7 @@
 inline constexpr duration idleMargin = 1s; // an idle connection is given up this long before the upstream would close it
 inline constexpr duration idleDefault = 4s; // if the upstream does not say how long it keeps idle connections
 inline constexpr duration probeIdle = 1s; // until the first keep-alive probe of a quiet connection
-inline constexpr int userTimeoutMs = 2500; // unacknowledged bytes end a connection
+inline constexpr duration userTimeout = 2500ms; // unacknowledged bytes end a connection
 inline constexpr int probeIntervalS = 1;
 inline constexpr int probeCount = 2;
 inline constexpr duration lingerTime = 1s; // for the caller to read a last answer before the connection is closed
@@ -28,6 +28,8 @@
 inline constexpr duration quietTick = 100ms; // and while there are none
 inline constexpr duration callConnectTimeout = 500ms; // to the object API and other routers
 inline constexpr duration answerSilence = 1s; // between bytes of a call's answer; a large one takes its time on a narrow link
+inline constexpr std::size_t refusedAtOnce = 16; // connections over a listener's limit that get an answer
+inline constexpr duration waitInterval = 5ms; // between looks of another thread at the loop, during start and shutdown
 inline constexpr duration acceptPause = 50ms; // after a failed accept, until descriptors are free again
 
 } // namespace nutmegtally::serving_limits
--- a/programs/serving/socket_options.cpp
+++ b/programs/serving/socket_options.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-void tuneSocket(boost::asio::ip::tcp::socket &socket)
+void tuneSocket(boost::asio::ip::tcp::socket &socket, duration userTimeout)
 {
     boost::system::error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -26,7 +26,8 @@
     socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPIDLE>(static_cast<int>(idle)), ignored);
     socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPINTVL>(serving_limits::probeIntervalS), ignored);
     socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPCNT>(serving_limits::probeCount), ignored);
-    socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>(serving_limits::userTimeoutMs), ignored);
+    const auto unacknowledged = std::chrono::duration_cast<std::chrono::milliseconds>(userTimeout).count();
+    socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>(static_cast<int>(unacknowledged)), ignored);
 }
 
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &text)
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -56,9 +56,7 @@
     if (m_failures == 0) {
         return;
     }
-    if (now - m_failingSince >= limits::outageAfter) {
-        m_regainedAt = m_calledAt;
-    }
+    m_hadOutage = now - m_failingSince >= limits::outageAfter;
     log_line line;
     line.with("kind", m_options.kind).with("failures", m_failures).with("away_ms", now - m_failingSince);
     effects.emplace_back(log_record {log_event::platformReachable, line.take()});
@@ -135,6 +133,7 @@
     if (m_failures == 0) {
         m_failingSince = now;
     }
+    m_lastFailedAt = m_calledAt;
     m_mustList = m_mustList || m_phase == phase::listing;
     m_phase = phase::idle;
     const unsigned doublings = std::min(m_failures, 5U);
@@ -218,10 +217,8 @@
         m_objects.erase(known);
     }
     duration grace {0};
-    if (m_failures > 0) {
-        grace = m_options.missingGrace; // told by another router while the API is away
-    } else if (m_regainedAt && now - *m_regainedAt < m_options.missingGrace) {
-        grace = m_options.missingGrace - (now - *m_regainedAt);
+    if (m_failures > 0 || m_hadOutage) {
+        grace = std::max(grace, m_options.missingGrace - (now - m_lastFailedAt));
     }
     effects.emplace_back(follower_effect::object_removed {name, grace});
 }
