--- a/include/nutmegtally/admission.h
+++ b/include/nutmegtally/admission.h
@@ -9,6 +9,7 @@
 #include <nutmegtally/ids.h>
 #include <nutmegtally/log_events.h>
 #include <nutmegtally/reducer.h>
+#include <nutmegtally/token_pace.h>
 #include <nutmegtally/work.h>
 
 #include <cstdint>
@@ -39,6 +40,11 @@
     attempt_ref attempt;
 };
 
+/// A running answer got another token.
+struct token {
+    attempt_ref attempt;
+};
+
 /// The answer goes on. Daemons post it with each keepalive; it gives the time between tokens before the answer ends.
 struct progress {
     attempt_ref attempt;
@@ -126,10 +132,11 @@
 class admission_core
 {
 public:
-    using event = std::variant<admission_event::config_changed, admission_event::work_offered, admission_event::first_token,
-                               admission_event::progress, admission_event::work_finished, admission_event::work_cancelled,
-                               admission_event::upstream_restarted, admission_event::upstream_load_reported, admission_event::mean_reported,
-                               admission_event::drain_requested, admission_event::drain_aborted, admission_event::tick>;
+    using event
+        = std::variant<admission_event::config_changed, admission_event::work_offered, admission_event::first_token, admission_event::token,
+                       admission_event::progress, admission_event::work_finished, admission_event::work_cancelled,
+                       admission_event::upstream_restarted, admission_event::upstream_load_reported, admission_event::mean_reported,
+                       admission_event::drain_requested, admission_event::drain_aborted, admission_event::tick>;
     using effect = std::variant<admission_effect::start_work, admission_effect::refuse_work, admission_effect::cancel_work,
                                 admission_effect::drained, log_record>;
 
@@ -159,6 +166,7 @@
         double load = 0; // prompt tokens ahead of and in this request at the start
         time_point started;
         std::optional<time_point> firstTokenAt;
+        time_point tokenAt; // newest token; valid with firstTokenAt
         std::optional<duration> betweenTokensTarget;
         std::uint32_t seenTokens = 0; // generated up to seenAt
         time_point seenAt;
@@ -167,6 +175,7 @@
     void on(time_point now, const admission_event::config_changed &input, std::vector<effect> &effects);
     void on(time_point now, const admission_event::work_offered &input, std::vector<effect> &effects);
     void on(time_point now, const admission_event::first_token &input, std::vector<effect> &effects);
+    void on(time_point now, const admission_event::token &input, std::vector<effect> &effects);
     void on(time_point now, const admission_event::progress &input, std::vector<effect> &effects);
     void on(time_point now, const admission_event::work_finished &input, std::vector<effect> &effects);
     void on(time_point now, const admission_event::work_cancelled &input, std::vector<effect> &effects);
@@ -208,6 +217,8 @@
     detail::fair_queue<queued_work> m_queue;
     std::map<account_id, std::uint32_t> m_runningByAccount;
     concurrency_window m_window;
+    token_pace m_pace;
+    std::uint32_t m_producing = 0; // running answers that have their first token
     std::uint64_t m_incarnation;
     std::map<unsigned, time_point> m_lastStart; // by engine priority
     std::map<unsigned, std::uint64_t> m_pendingPrefill; // prompt tokens of running work without a first token, by engine priority
--- a/include/nutmegtally/concurrency_window.h
+++ b/include/nutmegtally/concurrency_window.h
@@ -36,6 +36,9 @@
 
     void noteFailure();
 
+    /// The upstream has become slower than this window allows for.
+    void collapse(time_point now);
+
     /// Ends intervals. @param running Highest number of running requests since the last call.
     /// @return Whether the window collapsed.
     bool advance(time_point now, std::uint32_t running);
--- a/include/nutmegtally/ledger.h
+++ b/include/nutmegtally/ledger.h
@@ -284,6 +284,10 @@
 
     ledger_counts counts() const;
 
+    /// A booking with this key is in a shard that this agent owns: offered again, it is answered from there.
+    /// @param key Text of Idempotency-Key.
+    bool holds(const std::string &key) const;
+
 private:
     wall_time wallAt(time_point now) const;
 
--- a/programs/agent/agent_daemon.cpp
+++ b/programs/agent/agent_daemon.cpp
@@ -191,11 +191,23 @@
         stream->refuse(error_code::platformUnavailable, run_state::notRun, platformRetryAfter);
         return;
     }
+    if (header.info.kind == work_kind::booking && m_ledger->holds(header.info.idempotencyKey)) {
+        // No new work, and a refusal would hide that the booking has run already.
+        offerToLedger(stream);
+        return;
+    }
     request_info info = header.info;
     info.deadline = steadyNow() + info.deadline.time_since_epoch();
     post(admission_event::work_offered {header.attempt, info, header.mean, header.expectedCachedTokens});
 }
 
+void agent_daemon::offerToLedger(const stream_ptr &stream)
+{
+    const request_info &info = stream->header().info;
+    m_ledger->post(ledger_event::booking_offered {stream->header().attempt, info.idempotencyKey, info.bodyHash,
+                                                  steadyNow() + info.deadline.time_since_epoch(), wallNow()});
+}
+
 void agent_daemon::handleCancel(http_exchange &exchange)
 {
     readFields(exchange);
@@ -241,14 +253,19 @@
         return;
     }
     m_started.Increment();
-    const request_info &info = stream->header().info;
-    if (info.kind == work_kind::booking) {
-        m_ledger->post(ledger_event::booking_offered {order.attempt, info.idempotencyKey, info.bodyHash,
-                                                      steadyNow() + info.deadline.time_since_epoch(), wallNow()});
+    if (stream->header().info.kind == work_kind::booking) {
+        offerToLedger(stream);
         return;
     }
     m_upstream.run(
-        stream, order.priority, [this, attempt = order.attempt] { post(admission_event::first_token {attempt}); },
+        stream, order.priority,
+        [this, attempt = order.attempt](bool isFirst) {
+            if (isFirst) {
+                post(admission_event::first_token {attempt});
+            } else {
+                post(admission_event::token {attempt});
+            }
+        },
         [this, attempt = order.attempt](const upstream_result &result) {
             if (!result.ok) {
                 m_failed.Increment();
--- a/programs/agent/agent_daemon.h
+++ b/programs/agent/agent_daemon.h
@@ -53,6 +53,7 @@
     nlohmann::json readFields(const http_exchange &exchange);
     stream_ptr findOrStart(const work_header &header, const std::string &body);
     void offer(const stream_ptr &stream);
+    void offerToLedger(const stream_ptr &stream);
     void senderEnded(const stream_ptr &stream);
 
     void configChanged(const fleet_config_ptr &config);
--- a/programs/agent/agent_ledger.cpp
+++ b/programs/agent/agent_ledger.cpp
@@ -57,6 +57,12 @@
     }
 }
 
+bool agent_ledger::holds(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_core.holds(key);
+}
+
 void agent_ledger::execute(const ledger_core::effect &effect)
 {
     std::visit(
--- a/programs/agent/agent_ledger.h
+++ b/programs/agent/agent_ledger.h
@@ -33,6 +33,9 @@
 
     void post(const ledger_core::event &event);
 
+    /// See ledger_core::holds().
+    bool holds(const std::string &key);
+
 private:
     void execute(const ledger_core::effect &effect);
     void read(const ledger_effect::read_object &order);
--- a/programs/agent/agent_upstream.cpp
+++ b/programs/agent/agent_upstream.cpp
@@ -225,12 +225,12 @@
 class upstream_caller::chat_run : public std::enable_shared_from_this<chat_run>
 {
 public:
-    chat_run(std::shared_ptr<shared_state> shared, stream_ptr stream, unsigned priority, std::function<void()> firstToken,
+    chat_run(std::shared_ptr<shared_state> shared, stream_ptr stream, unsigned priority, std::function<void(bool)> token,
              std::function<void(upstream_result)> done)
         : m_shared(std::move(shared))
         , m_stream(std::move(stream))
         , m_priority(priority)
-        , m_firstToken(std::move(firstToken))
+        , m_token(std::move(token))
         , m_done(std::move(done))
         , m_call(m_shared->context, m_shared->options.address, m_shared->options.connectTimeout)
     {
@@ -387,8 +387,8 @@
         m_sawEnd = m_sawEnd
                    || (special && !usageOnly && !chunk.at("choices").empty()
                        && !chunk.at("choices").front().value("finish_reason", json()).is_null());
-        if (!text.empty() && ++m_pieces == 1) {
-            m_firstToken();
+        if (!text.empty()) {
+            m_token(++m_pieces == 1);
         }
         m_stream->append({std::move(text), special ? payload : std::string()});
     }
@@ -473,7 +473,7 @@
     std::shared_ptr<shared_state> m_shared;
     stream_ptr m_stream;
     unsigned m_priority;
-    std::function<void()> m_firstToken;
+    std::function<void(bool isFirst)> m_token;
     std::function<void(upstream_result)> m_done;
     upstream_call m_call;
     int m_status = 0; // of the answer on the current connection
@@ -664,12 +664,12 @@
     service_answer m_answer;
 };
 
-void upstream_caller::run(const stream_ptr &stream, unsigned priority, std::function<void()> firstToken,
+void upstream_caller::run(const stream_ptr &stream, unsigned priority, std::function<void(bool)> token,
                           std::function<void(upstream_result)> done)
 {
     m_shared->pool.checkTime(steadyNow());
     if (stream->header().stream) {
-        std::make_shared<chat_run>(m_shared, stream, priority, std::move(firstToken), std::move(done))->start();
+        std::make_shared<chat_run>(m_shared, stream, priority, std::move(token), std::move(done))->start();
     } else {
         std::make_shared<whole_run>(m_shared, stream, priority, std::move(done))->start();
     }
--- a/programs/agent/agent_upstream.h
+++ b/programs/agent/agent_upstream.h
@@ -55,9 +55,10 @@
     upstream_caller(boost::asio::io_context &context, upstream_options options);
 
     /// Runs the work and feeds the stream until it has ended.
-    /// @param firstToken Called once, when a streamed chat's first token arrives.
+    /// @param token Called for each token of a streamed chat.
     /// @param done Called once.
-    void run(const stream_ptr &stream, unsigned priority, std::function<void()> firstToken, std::function<void(upstream_result)> done);
+    void run(const stream_ptr &stream, unsigned priority, std::function<void(bool isFirst)> token,
+             std::function<void(upstream_result)> done);
 
     /// Sends a booking once, over a new connection so that a closed one cannot leave its state unknown.
     /// @param key Idempotency-Key.
--- a/programs/simulation/sim_engine.cpp
+++ b/programs/simulation/sim_engine.cpp
@@ -138,10 +138,12 @@
     }
     m_stepping = false;
     std::vector<sequence> first;
+    std::vector<sequence> later;
     std::vector<sequence> done;
     for (sequence &work : m_running) {
         if (work.prefillLeft == 0) {
             ++work.generated;
+            later.push_back(work);
         }
     }
     prefill(prefilled, true);
@@ -158,6 +160,9 @@
     for (const sequence &work : first) {
         m_handlers.firstToken(work);
     }
+    for (const sequence &work : later) {
+        m_handlers.token(work);
+    }
     for (const sequence &work : done) {
         m_cache->store(work.chat, work.promptTokens + work.generated);
         m_handlers.finished(work);
--- a/programs/simulation/sim_engine.h
+++ b/programs/simulation/sim_engine.h
@@ -75,6 +75,7 @@
 
     struct handlers {
         std::function<void(const sequence &)> firstToken;
+        std::function<void(const sequence &)> token; // each later one
         std::function<void(const sequence &)> finished;
         std::function<void(const sequence &)> failed;
     };
--- a/programs/simulation/sim_fleet.cpp
+++ b/programs/simulation/sim_fleet.cpp
@@ -146,12 +146,13 @@
     process.core = std::make_unique<admission_core>(admission);
     if (!process.engine) {
         auto cache = m_sharedCache ? m_sharedCache : std::make_shared<prefix_cache>(m_options.engine.cacheTokens);
-        process.engine
-            = std::make_unique<sim_engine>(m_queue, m_options.engine,
-                                           sim_engine::handlers {[this, agent](const auto &work) { engineFirstToken(agent, work); },
-                                                                 [this, agent](const auto &work) { engineFinished(agent, work); },
-                                                                 [this, agent](const auto &work) { engineFailed(agent, work); }},
-                                           std::move(cache));
+        process.engine = std::make_unique<sim_engine>(
+            m_queue, m_options.engine,
+            sim_engine::handlers {[this, agent](const auto &work) { engineFirstToken(agent, work); },
+                                  [this, agent](const auto &work) { postAgent(agent, admission_event::token {work.attempt}); },
+                                  [this, agent](const auto &work) { engineFinished(agent, work); },
+                                  [this, agent](const auto &work) { engineFailed(agent, work); }},
+            std::move(cache));
     }
     postAgent(agent, admission_event::config_changed {m_config});
 }
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace nutmegtally
 {
@@ -291,7 +292,8 @@
         const account_config *entry = m_config ? m_config->findAccount(account) : nullptr;
         return entry != nullptr ? entry->share : 1.0;
     };
-    while (m_running.size() < m_window.size()) {
+    // An upstream that slows down may have turned cold: what it bore a moment ago may be too much.
+    while (m_running.size() < m_window.size() && m_pace.isUsual(now)) {
         std::optional<queued_work> work = m_queue.pop(share, [&](account_id account) { return mayStart(account); });
         if (!work) {
             return;
@@ -326,12 +328,33 @@
     }
     running_work &work = found->second;
     work.firstTokenAt = now;
+    work.tokenAt = now;
     work.seenAt = now;
+    ++m_producing;
     m_pendingPrefill[work.priority] -= work.uncachedTokens;
     m_window.noteFirstToken(work.priority, work.load, now - work.started);
     on(now, admission_event::tick {}, effects);
 }
 
+void admission_core::on(time_point now, const admission_event::token &input, std::vector<effect> &effects)
+{
+    const auto found = m_running.find(input.attempt);
+    if (found == m_running.end() || !found->second.firstTokenAt) {
+        return;
+    }
+    m_pace.note(now, now - std::exchange(found->second.tokenAt, now));
+    if (m_pace.hasSlowedDown(now)) {
+        const std::uint32_t before = m_window.size();
+        m_window.collapse(now);
+        m_pace.restart();
+        effects.emplace_back(log_record {log_event::windowCollapsed,
+                                         "from=" + std::to_string(before) + " to=" + std::to_string(m_window.size()) + " reason=tokens"});
+    }
+    if (m_queue.size() > 0) {
+        startWaiting(now, effects);
+    }
+}
+
 void admission_core::on(time_point now, const admission_event::progress &input, std::vector<effect> &)
 {
     const auto found = m_running.find(input.attempt);
@@ -361,6 +384,8 @@
     m_serviceSeconds = m_serviceSeconds > 0 ? m_serviceSeconds + limits::latencyModelWeight * (served - m_serviceSeconds) : served;
     if (!found->second.firstTokenAt) {
         m_pendingPrefill[found->second.priority] -= found->second.uncachedTokens;
+    } else if (--m_producing == 0) {
+        m_pace.pause();
     }
     if (--m_runningByAccount[found->second.account] == 0) {
         m_runningByAccount.erase(found->second.account);
@@ -398,6 +423,7 @@
     }
     m_incarnation = input.incarnation;
     m_window.restart(now);
+    m_pace.restart();
     effects.emplace_back(log_record {log_event::upstreamRestarted, "incarnation=" + std::to_string(input.incarnation)});
     // Waiting work was accepted for a warm upstream.
     while (m_queue.size() > 0 && m_running.size() + m_queue.size() > m_window.size()) {
--- a/src/concurrency_window.cpp
+++ b/src/concurrency_window.cpp
@@ -48,6 +48,15 @@
     ++m_failures;
 }
 
+void concurrency_window::collapse(time_point now)
+{
+    m_size = std::max<double>(m_options.initial, m_size * limits::windowCollapseFactor);
+    m_cold = true;
+    m_intervalEnd = now + m_options.interval;
+    m_samples = m_jumps = m_failures = m_betweenSamples = 0;
+    m_betweenRatio = 0;
+}
+
 bool concurrency_window::advance(time_point now, std::uint32_t running)
 {
     m_peak = std::max(m_peak, running);
@@ -55,11 +64,7 @@
     const std::uint32_t bad = m_jumps + m_failures;
     const auto enough = std::max(limits::minJumps, static_cast<std::uint32_t>(m_size * limits::jumpWindowShare));
     if (bad >= enough && 2 * bad > m_samples) {
-        m_size = std::max<double>(m_options.initial, m_size * limits::windowCollapseFactor);
-        m_cold = true;
-        m_intervalEnd = now + m_options.interval;
-        m_samples = m_jumps = m_failures = m_betweenSamples = 0;
-        m_betweenRatio = 0;
+        collapse(now);
         m_peak = running;
         return true;
     }
--- a/src/ledger_core_impl.h
+++ b/src/ledger_core_impl.h
@@ -132,6 +132,13 @@
     return list;
 }
 
+template<ledger_policy Policy>
+bool basic_ledger_core<Policy>::holds(const std::string &key) const
+{
+    const auto parsed = booking_key::fromText(key);
+    return parsed && m_shards[parsed->shard(m_options->shards)]->holds(*parsed);
+}
+
 template<ledger_policy Policy>
 ledger_counts basic_ledger_core<Policy>::counts() const
 {
--- a/src/ledger_shard.h
+++ b/src/ledger_shard.h
@@ -40,6 +40,11 @@
     void listUnknown(std::vector<unknown_booking> &list) const;
     void addCounts(ledger_counts &counts) const;
 
+    bool holds(booking_key key) const
+    {
+        return m_phase == shard_phase::owned && m_records.contains(key);
+    }
+
 private:
     // Callers and the service.
     void offerToOwner(const ledger_turn &turn, const booking_offer &offer);
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace nutmegtally;
 using namespace std::chrono_literals;
 
@@ -49,6 +51,14 @@
         core->apply(now, event, effects);
     }
 
+    /// Work that the last event started.
+    std::size_t started() const
+    {
+        return static_cast<std::size_t>(std::count_if(effects.begin(), effects.end(), [](const admission_core::effect &effect) {
+            return std::holds_alternative<admission_effect::start_work>(effect);
+        }));
+    }
+
     attempt_ref offer(const char *workClass = "draft", const char *account = "a", double mean = 0)
     {
         admission_event::work_offered offered;
@@ -158,4 +168,51 @@
     BOOST_TEST(core->report(now).running == 0U);
 }
 
+// Known red until its mend: scenario p2-cold-start, an engine that turns cold without warning.
+BOOST_AUTO_TEST_CASE(tokens_becomeSlow_holdWaitingWorkBeforeAnyFirstTokenIsLate)
+{
+    options.initialWindow = 16;
+    create();
+    const attempt_ref running = offer();
+    apply(admission_event::first_token {running});
+    for (int i = 0; i < 40; ++i) {
+        now += 10ms;
+        apply(admission_event::token {running});
+    }
+    offer();
+    BOOST_TEST(started() == 1U); // at its usual pace
+    now += 60ms; // no token, and no other sign
+    offer();
+    BOOST_TEST(started() == 0U);
+    now += 5ms;
+    apply(admission_event::token {running}); // slow
+    BOOST_TEST(started() == 0U);
+    now += 10ms;
+    apply(admission_event::token {running}); // as usual again: a hiccup
+    BOOST_TEST(started() == 1U);
+    BOOST_TEST(core->report(now).window == 16U);
+}
+
+BOOST_AUTO_TEST_CASE(tokens_staySlow_collapseTheWindow)
+{
+    options.initialWindow = 16;
+    create();
+    const attempt_ref running = offer();
+    apply(admission_event::first_token {running});
+    for (int i = 0; i < 40; ++i) {
+        now += 10ms;
+        apply(admission_event::token {running});
+    }
+    bool collapsed = false;
+    for (int i = 0; i < 4 && !collapsed; ++i) {
+        now += 50ms;
+        apply(admission_event::token {running});
+        collapsed = std::any_of(effects.begin(), effects.end(), [](const admission_core::effect &effect) {
+            const auto *record = std::get_if<log_record>(&effect);
+            return record != nullptr && record->event == log_event::windowCollapsed;
+        });
+    }
+    BOOST_TEST(collapsed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/test_daemon_bookings.cpp
@@ -0,0 +1,70 @@
+// Guards against a refusal of a repeated booking that hides that the booking has run.
+#include "tests/daemon_fixture.h"
+#include "tests/scripted_objects.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace nutmegtally;
+using namespace nutmegtally::test;
+
+namespace
+{
+
+/// An agent beside a service that runs one booking at a time and queues none.
+struct booking_fixture : daemon_fixture {
+    booking_fixture()
+    {
+        agentSettings.self = testUpstream("s1", "", true);
+        agentSettings.platform.objects = objects.server.address();
+        agentSettings.admission.initialWindow = 1;
+        agentSettings.admission.maxWindow = 1;
+        agentSettings.admission.loadFloor = 1;
+        agentSettings.admission.maxQueue = 1;
+        startFleet(service.address());
+    }
+
+    /// Bookings of a day of its own, so that no key is too old.
+    static std::string keyOf(unsigned number)
+    {
+        const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        const std::string time = toHex(static_cast<std::uint64_t>(millis.count())).substr(4);
+        return time.substr(0, 8) + "-" + time.substr(8) + "-7000-8000-00000000000" + std::to_string(number);
+    }
+
+    answer book(const std::string &key, const std::string &body) const
+    {
+        caller desk = connect();
+        desk.setHeader("Idempotency-Key", key);
+        return desk.call("POST", "/services/booking-app/book", body);
+    }
+
+    scripted_objects objects;
+    latch_flag slowStarted;
+    latch_flag release;
+    scripted_server service {engine([this](scripted_exchange &exchange) {
+        if (exchange.header("Idempotency-Key") == slowKey) {
+            slowStarted.set();
+            release.wait();
+        }
+        exchange.reply(200, "application/json", "{}");
+    })};
+    const std::string slowKey = keyOf(2);
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(agent_repeatedKeyAtItsLoadLimit_repeatsTheOutcome, booking_fixture)
+{
+    const std::string key = keyOf(1);
+    BOOST_TEST(book(key, "{}").status == 200);
+    std::thread slow([this] { BOOST_TEST(book(slowKey, "{}").status == 200); });
+    BOOST_TEST(slowStarted.wait());
+    const answer fresh = book(keyOf(3), "{}");
+    BOOST_TEST(fresh.status != 200);
+    BOOST_TEST(fresh.fault().value("run_state", "") == "not_run");
+    BOOST_TEST(book(key, "{}").status == 200);
+    release.set();
+    slow.join();
+}
--- a/tests/test_daemon_fleet.cpp
+++ b/tests/test_daemon_fleet.cpp
@@ -4,6 +4,7 @@
 #include "daemon/daemon_fleet_simulation.h"
 #include "daemon/daemon_http.h"
 #include "tests/scripted_http.h"
+#include "tests/scripted_objects.h"
 
 #include <nutmegtally/errors.h>
 
@@ -24,21 +25,6 @@
 const std::string newKey(64, 'b');
 const std::string foreignKey(64, 'c');
 
-/// Serves reads of a memory_store as the object API does; a watch returns at once.
-struct platform_server {
-    void answer(scripted_exchange &exchange)
-    {
-        const std::lock_guard lock(mutex);
-        const object_reply reply = store.read(exchange.path().substr(std::string("/objects/").size()));
-        exchange.setHeader("ETag", "\"" + std::to_string(reply.version) + "\"");
-        exchange.reply(reply.version == 0 ? 404 : 200, "application/json", reply.value);
-    }
-
-    std::mutex mutex;
-    memory_store store;
-    scripted_server server {[this](scripted_exchange &exchange) { answer(exchange); }};
-};
-
 /// One process: driver and inner listener.
 struct fleet_process {
     fleet_process(const std::string &name, const std::string &objects, const std::vector<std::string> &seeds,
@@ -116,7 +102,7 @@
 
     const std::string statusCall = R"({"jsonrpc":"2.0","id":1,"method":"status.read","params":{"m":{}}})";
     const std::string nowhere = "127.0.0.1:1";
-    platform_server platform;
+    scripted_objects platform;
 };
 
 } // namespace
