--- a/tests/soak_entry.py
+++ b/tests/soak_entry.py
@@ -18,13 +18,25 @@
 SETTLE_S = 5.0  # after the last fault, until everything must be served again
 
 
+SPOILS = {  # what a faulty router would do, to what the soak's failure says then
+    "repeated-booking": "ran 2 times",
+    "false-refusal": "was refused as not run with 503, and ran",
+    "foreign-answer": "success without the stamp of its own run",
+    "harmed-answer": "not its whole answer",
+    "lost-event": "events [1, 2, 4]",
+    "unasked-run": "ran, and no caller sent it",
+    "work-after-drain": "requests 3.0 s after it was closed",
+    "old-configuration": "expected 200",
+}
+
+
 class Failure(AssertionError):
     """A broken promise, with what shows it."""
 
 
 class Soak:
-    def __init__(self, binary: pathlib.Path, seed: int, seconds: float):
-        self.seed, self.seconds = seed, seconds
+    def __init__(self, binary: pathlib.Path, seed: int, seconds: float, spoil: str = ""):
+        self.seed, self.seconds, self.spoil = seed, seconds, spoil
         self.rng = random.Random(seed)
         self.fleet = Fleet(binary, routers=3, engines=3, desks=3, seed=seed)
         self.lock = threading.Lock()
@@ -59,6 +71,7 @@
                     sock.settimeout(8)
                 headers = request_headers(request_id, subject=rng.randint(1, 6))
                 status, answer, body = exchange(sock, "POST", f"/{kind}/1", headers, b"x")
+                status, answer, body = self.spoiled(request_id, kind, status, answer, body)
                 self.check_answer(request_id, kind, status, answer, body, router)
                 if status == 0 or answer.get("connection") == "close" or rng.random() < 0.05:
                     sock.close()
@@ -71,6 +84,31 @@
                 sock = None
             time.sleep(rng.uniform(0.0, 0.03))
 
+    def send_past_routers(self, name: str, request_id: str, path: str) -> None:
+        upstream = self.fleet.upstreams[name]
+        upstream.fault = None
+        ask(int(upstream.address.rpartition(":")[2]), "POST", path, request_headers(request_id), b"x")
+
+    def spoiled(self, request_id, kind, status, answer, body):
+        """The first answer that the chosen fault fits, as a router with that fault would have given it."""
+        wanted = {"repeated-booking": "booking", "false-refusal": "booking", "foreign-answer": "read", "harmed-answer": "read",
+                  "lost-event": "stream-reply", "unasked-run": "read"}.get(self.spoil)
+        if status != 200 or kind != wanted:
+            return status, answer, body
+        spoil, self.spoil = self.spoil, ""
+        self.note(f"spoiled {request_id}: {spoil}")
+        if spoil in ("repeated-booking", "unasked-run"):
+            self.send_past_routers("desk-1", request_id if spoil == "repeated-booking" else "nobody-1", f"/{kind}/1")
+        elif spoil == "false-refusal":
+            status = 503
+        elif spoil == "foreign-answer":
+            answer = {**answer, "x-server-stamp": answer["x-server-stamp"] + "0"}
+        elif spoil == "harmed-answer":
+            body = body[:-1]
+        elif spoil == "lost-event":
+            body = body.replace(b"id: 3", b"")
+        return status, answer, body
+
     def check_answer(self, request_id, kind, status, answer, body, router) -> None:
         with self.lock:
             self.outcomes[request_id] = (kind, status)
@@ -226,7 +264,7 @@
         """Without faults everything is served, changes arrive and leaving upstreams get nothing."""
         time.sleep(SETTLE_S)
         with self.lock:
-            self.fleet.configure(extra_routes=("calm",))
+            self.fleet.configure(extra_routes=() if self.spoil == "old-configuration" else ("calm",))
         self.fleet.set_state("desk-0", "draining")
         self.fleet.store.put("evacuations", "south", {})
         time.sleep(LEAVING_S)
@@ -240,6 +278,9 @@
                 self.outcomes[request_id] = (path, status)
                 if status != expected:
                     self.fail(f"calm: {path} at {router.name}: {status}, expected {expected}: {body!r}")
+        if self.spoil == "work-after-drain":
+            self.outcomes["late"] = ("read", 0)
+            self.send_past_routers("desk-0", "late", "/read/1")
         for name, upstream in self.fleet.upstreams.items():
             closed = name == "desk-0" or self.fleet.entries[name]["zone"] == "south"
             if closed and len(upstream.arrivals) != before[name]:
@@ -286,14 +327,33 @@
             self.fleet.close()
 
 
+def check_spoils(binary: pathlib.Path, options, names: list[str]) -> None:
+    """Each promise's check has to find a fault against it, or it proves nothing."""
+    missed = []
+    for name in names:
+        try:
+            Soak(binary, options.seed, options.seconds, name).run()
+            found = "nothing"
+        except Failure as failure:
+            found = str(failure)
+        missed += [] if SPOILS[name] in found else [name]
+        print(json.dumps({"spoil": name, "outcome": "found" if SPOILS[name] in found else "missed", "why": found}), flush=True)
+    if missed:
+        raise SystemExit(f"not found: {', '.join(missed)}")
+
+
 def main() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument("binaries", nargs="?", default="build-dev/programs")
     parser.add_argument("--seed", type=int, default=20261204)
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds, from --seed on")
     parser.add_argument("--seconds", type=float, default=8, help="length of the faults of one seed")
+    parser.add_argument("--spoil", choices=[*SPOILS, "each"], help="imitate a faulty router; passes if the soak finds the fault")
     options = parser.parse_args()
     binary = pathlib.Path(options.binaries).resolve() / "entry" / "nutmegtally-entry"
+    if options.spoil:
+        check_spoils(binary, options, list(SPOILS) if options.spoil == "each" else [options.spoil])
+        return
     failed = 0
     for seed in list(REGRESSIONS) + list(range(options.seed, options.seed + options.seeds)):
         try:
