--check: one line for each fault, and what is allowed there

Cause: valijson reports a fault again for each object, array and alternative around it (ten faults gave 30 lines), and the remedy named a page instead of the allowed values. Change: echoes are dropped; the remedy is read from the schema: type, limits, pattern, choices, known members.

--- a/programs/daemon/daemon_settings.cpp
+++ b/programs/daemon/daemon_settings.cpp
@@ -13,8 +13,12 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
+#include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <sstream>
+#include <string_view>
+#include <utility>
 
 namespace nutmegtally
 {
@@ -36,15 +40,91 @@
     return path;
 }
 
-std::string remedyFor(const std::string &message)
+/// Part of a schema that a value has to match.
+/// @param path JSON pointer of the value.
+/// @return nullptr if the schema says nothing about it.
+const nlohmann::json *schemaAt(const nlohmann::json &schema, const std::string &path)
+{
+    const nlohmann::json *node = &schema;
+    const auto resolve = [&] {
+        while (node->contains("$ref")) {
+            node = &schema.at(nlohmann::json::json_pointer(node->at("$ref").get<std::string>().substr(1)));
+        }
+    };
+    resolve();
+    std::istringstream parts(path);
+    std::string part;
+    std::getline(parts, part, '/'); // before the first slash
+    while (std::getline(parts, part, '/')) {
+        if (node->contains("properties") && node->at("properties").contains(part)) {
+            node = &node->at("properties").at(part);
+        } else if (node->contains("additionalProperties") && node->at("additionalProperties").is_object()) {
+            node = &node->at("additionalProperties");
+        } else if (node->contains("items")) {
+            node = &node->at("items");
+        } else {
+            return nullptr;
+        }
+        resolve();
+    }
+    return node;
+}
+
+std::string join(const nlohmann::json &names)
+{
+    std::string text;
+    for (const auto &name : names) {
+        text += (text.empty() ? "" : ", ") + (name.is_string() ? name.get<std::string>() : name.dump());
+    }
+    return text;
+}
+
+/// What a schema allows, in words.
+std::string allowedBy(const nlohmann::json &node)
+{
+    if (node.contains("enum")) {
+        return "one of " + join(node.at("enum"));
+    }
+    std::string text = node.contains("type") ? (node.at("type").is_array() ? join(node.at("type")) : node.at("type").get<std::string>())
+                                             : std::string("value");
+    for (const auto &[key, words] :
+         {std::pair("minimum", " of at least "), std::pair("exclusiveMinimum", " above "), std::pair("maximum", " of at most "),
+          std::pair("minLength", " with a length of at least "), std::pair("maxLength", " with a length of at most "),
+          std::pair("minItems", " with at least "), std::pair("pattern", " that matches ")}) {
+        if (node.contains(key)) {
+            const nlohmann::json &limit = node.at(key);
+            text += words + (limit.is_string() ? limit.get<std::string>() : limit.dump());
+        }
+    }
+    return text;
+}
+
+/// What to do about a fault, with what the schema allows there.
+std::string remedyFor(const std::string &message, const nlohmann::json *node)
 {
     if (message.find("additional") != std::string::npos) {
-        return "remove the unknown member or correct its spelling";
+        nlohmann::json known = nlohmann::json::array();
+        if (node != nullptr && node->contains("properties")) {
+            for (const auto &[name, unused] : node->at("properties").items()) {
+                known.push_back(name);
+            }
+        }
+        return "remove the unknown member or correct its spelling" + (known.empty() ? std::string() : "; known are " + join(known));
     }
     if (message.find("required") != std::string::npos) {
         return "add the missing member";
     }
-    return "correct the value as docs/settings.md says";
+    return node == nullptr ? "correct the value as docs/settings.md says" : "use " + allowedBy(*node);
+}
+
+/// valijson reports a fault once more for each object, array and alternative around it.
+bool isEcho(const config_fault &fault, const std::vector<config_fault> &all)
+{
+    constexpr std::string_view echo = "Failed to validate";
+    const auto isAround = [&](const config_fault &other) {
+        return other.message.rfind(echo, 0) != 0 && other.path.compare(0, fault.path.size(), fault.path) == 0;
+    };
+    return fault.message.rfind(echo, 0) == 0 && std::any_of(all.begin(), all.end(), isAround);
 }
 
 } // namespace
@@ -77,9 +157,12 @@
         for (const std::string &part : result.context) {
             path += toPointer(part.front() == '<' ? part : std::string(1, '>').append(part));
         }
-        faults.push_back({path, result.description, remedyFor(result.description)});
+        faults.push_back({path, result.description, remedyFor(result.description, schemaAt(schema, path))});
     }
-    return faults;
+    std::vector<config_fault> single;
+    std::copy_if(faults.begin(), faults.end(), std::back_inserter(single),
+                 [&](const config_fault &fault) { return !isEcho(fault, faults); });
+    return single;
 }
 
 nlohmann::json loadSettings(const std::string &path, const nlohmann::json &schema)
--- a/tests/test_daemon_settings.cpp
+++ b/tests/test_daemon_settings.cpp
@@ -55,6 +55,29 @@
     BOOST_TEST(readFleetConfig(configFolder + "fleet.example.json")->accounts.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(settings_tenFaults_giveTenLinesThatSayWhatIsAllowed)
+{
+    nlohmann::json document = readSettingsFile(configFolder + "router.example.json");
+    document["listen"] = 1;
+    document["logLevel"] = "loud";
+    document["shutdownLimitMs"] = -1;
+    document["stream"]["silenceMs"] = "2 s";
+    document["stream"]["maxResumes"] = 1.5;
+    document["stream"]["bufferBytes"] = true;
+    document["innerKeys"] = nlohmann::json::array({7});
+    document["upstreams"][0]["name"] = 5;
+    document["upstreams"][1]["adress"] = "127.0.0.1:1";
+    document["unknownMember"] = 1;
+    const std::vector<config_fault> faults = checkAgainstSchema(document, routerSchema());
+    BOOST_TEST(faults.size() == 10U);
+    for (const config_fault &fault : faults) {
+        BOOST_TEST(fault.remedy.find("docs/settings.md") == std::string::npos, fault.path << ": " << fault.remedy);
+    }
+    BOOST_TEST(std::any_of(faults.begin(), faults.end(), [](const config_fault &fault) {
+        return fault.path == "/logLevel" && fault.remedy.find("warning") != std::string::npos;
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(settings_severalFaults_areReportedTogether)
 {
     nlohmann::json document = readSettingsFile(configFolder + "router.example.json");
