--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -297,6 +297,7 @@
         time_point sentAt;
         phase state = phase::waiting;
         upstream_number upstream = noUpstreamNumber; // of the running attempt
+        std::uint64_t unreadTokens = 0; // as in its placement
         bool awaitsFirst = false; // the running attempt has no answer yet
         bool wasOverdue = false;
         bool isResume = false;
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -81,6 +81,7 @@
     std::uint64_t cachedTokens = 0; // that the upstream probably keeps
     std::string fetchFrom; // address of an upstream that keeps more of the prompt; empty if none does
     std::uint64_t fetchTokens = 0; // what it keeps beyond the chosen one
+    std::uint64_t unreadTokens = 0; // of the prompt, which the chosen one has to read
     unsigned candidates = 0;
 };
 
@@ -111,7 +112,7 @@
     upstream_number number = noUpstreamNumber;
     time_point coldUntil;
     unsigned inFlight = 0; // this router's requests there
-    std::uint64_t pendingTokens = 0; // prompt tokens of this router's requests that have no first event yet
+    std::uint64_t pendingTokens = 0; // that it has to read for this router's requests without a first event
     std::uint64_t heldTokens = 0; // prompt and output tokens of this router's requests
     upstream_load reported;
     time_point reportedAt;
@@ -153,10 +154,12 @@
     placement choose(const placement_request &request, const traffic_rules &rules, time_point now);
 
     /// Counts a request that is sent now.
-    void start(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, std::uint64_t heldTokens, time_point now);
+    /// @param unreadTokens Of its prompt, as in placement.
+    /// @param heldTokens Prompt and output tokens.
+    void start(upstream_number number, const prompt_parts &parts, std::uint64_t unreadTokens, std::uint64_t heldTokens, time_point now);
 
     /// First event of the request's answer, or its whole answer.
-    void firstAnswer(upstream_number number, std::uint64_t promptTokens);
+    void firstAnswer(upstream_number number, std::uint64_t unreadTokens);
 
     /// Takes over what another router told.
     void hear(const load_notice &notice, time_point now);
@@ -168,7 +171,7 @@
 
     /// Ends a request that start() counted.
     /// @param awaitsFirst True if firstAnswer() was not called for it.
-    void finish(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, bool awaitsFirst);
+    void finish(upstream_number number, std::uint64_t unreadTokens, std::uint64_t heldTokens, bool awaitsFirst);
 
     /// Where prompts are cached, for a router that has just started.
     std::vector<prompt_notice> knownPrompts(time_point now) const;
@@ -232,6 +235,8 @@
     double scoreEngine(const candidate &option, const placement_request &request, const service_rule &rule, const prompt_view &prompt,
                        placement &details, time_point now) const;
     std::uint64_t pendingTokens(const upstream_state &upstream, time_point now) const;
+    /// Time that an engine needs for prompts of which no notice has told yet.
+    double unseenReadingMs(std::size_t engines, time_point now) const;
     static double scoreService(const candidate &option);
     upstream_state *mutableState(upstream_number number);
 
@@ -248,10 +253,19 @@
     prefix_map m_prefixes; // prompts of this router and those that others told of
     std::unordered_map<std::uint64_t, upstream_number> m_numberOf; // by hash of the instance's name
     std::unordered_map<std::string, std::uint32_t> m_tellers; // index of each router that ever told its load
-    std::unordered_map<std::uint32_t, std::vector<upstream_number>> m_toldBy; // upstreams in the last notice of each teller
+    /// Last notice of another router.
+    struct told_notice {
+        std::vector<upstream_number> upstreams;
+        time_point at;
+    };
+
+    std::unordered_map<std::uint32_t, told_notice> m_toldBy;
     std::vector<prompt_notice> m_untold; // prompts sent since the last notice
     std::unordered_set<upstream_number> m_learnt; // engines of which another router or they themselves told all they keep
     upstream_number m_lastNumber = noUpstreamNumber;
+    double m_startedTokens = 0; // to be read for this router's requests; halved with limits::readingHalfLife
+    time_point m_startedAt; // of m_startedTokens
+    duration m_noticeInterval {0}; // moving average of the time between two notices of one router
 };
 
 } // namespace nutmegtally
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -208,7 +208,8 @@
     work.sentAt = now;
     work.awaitsFirst = true;
     work.wasOverdue = false;
-    m_upstreams.start(choice.upstream, parts, work.request.promptTokens, work.request.promptTokens + work.request.outputTokens, now);
+    work.unreadTokens = choice.unreadTokens;
+    m_upstreams.start(choice.upstream, parts, work.unreadTokens, work.request.promptTokens + work.request.outputTokens, now);
 
     entry_effect::start_attempt attempt;
     attempt.exchange = id;
@@ -309,7 +310,7 @@
 
 void entry_core::endAttempt(time_point now, exchange &work, upstream_verdict verdict)
 {
-    m_upstreams.finish(work.upstream, work.request.promptTokens, work.request.promptTokens + work.request.outputTokens, work.awaitsFirst);
+    m_upstreams.finish(work.upstream, work.unreadTokens, work.request.promptTokens + work.request.outputTokens, work.awaitsFirst);
     m_upstreams.judge(work.upstream, verdict, now);
     work.upstream = noUpstreamNumber;
     work.awaitsFirst = false;
@@ -369,7 +370,7 @@
     } else {
         work.wasOverdue = false;
         effects.push_back(record(log_event::answerReceived, line));
-        m_upstreams.firstAnswer(work.upstream, work.request.promptTokens);
+        m_upstreams.firstAnswer(work.upstream, work.unreadTokens);
         work.awaitsFirst = false;
         m_upstreams.judge(work.upstream, upstream_verdict::good, now);
     }
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -24,6 +24,11 @@
     return std::exp2(-milliseconds(age) / milliseconds(halfLife));
 }
 
+duration scaled(duration span, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
 /// Rank of an upstream for a subject; the highest of all is the subject's home.
 std::uint64_t rankOf(std::uint64_t subject, const upstream_state &upstream)
 {
@@ -147,17 +152,21 @@
 {
     const auto [teller, isNew] = m_tellers.try_emplace(notice.router, static_cast<std::uint32_t>(m_tellers.size()));
     const std::uint32_t router = teller->second;
-    std::vector<upstream_number> &told = m_toldBy[router];
-    for (const upstream_number number : told) {
+    told_notice &told = m_toldBy[router];
+    if (told.at != time_point() && now - told.at < limits::noticeLifetime) {
+        m_noticeInterval += scaled(now - told.at - m_noticeInterval, limits::noticeIntervalWeight);
+    }
+    told.at = now;
+    for (const upstream_number number : told.upstreams) {
         if (upstream_state *state = mutableState(number)) {
             std::erase_if(state->told, [router](const told_share &share) { return share.router == router; });
         }
     }
-    told.clear();
+    told.upstreams.clear();
     for (const upstream_share &share : notice.shares) {
         if (const auto number = m_numberOf.find(share.upstream); number != m_numberOf.end()) {
             mutableState(number->second)->told.push_back({router, share.inFlight, share.pendingTokens, now});
-            told.push_back(number->second);
+            told.upstreams.push_back(number->second);
         }
     }
     notePrompts(notice.prompts, now);
@@ -270,6 +279,7 @@
     const std::uint64_t cached = held != prompt.holdings.end() && held->upstream == upstream.number ? held->tokens : 0;
     details.cachedTokens = cached;
     details.fetchTokens = prompt.heldTokens;
+    details.unreadTokens = total - std::min(total, cached);
     // What some other engine keeps is fetched from there; the rest of the shared parts is read again.
     const std::uint64_t shared = total - std::min(total, own);
     const std::uint64_t fetched = prompt.heldTokens > cached ? prompt.heldTokens - cached : 0;
@@ -391,6 +401,8 @@
 
     bool sawCold = false;
     double bestTie = 0;
+    // Routers with the same news would all choose the engine that looks best; what they have not told yet spreads them.
+    const double spreadMs = isEngine ? limits::unseenSpread * unseenReadingMs(open.size(), now) : 0;
     for (const candidate &each : open) {
         upstream_state &state = *each.state;
         const double slots = std::max(1U, state.record.slots);
@@ -408,10 +420,11 @@
         double score = isEngine ? scoreEngine(each, request, *rule, prompt, option, now) : scoreService(each);
         score += state.record.domain == m_ownDomain ? 0 : limits::otherDomainMs;
         score += limits::failurePenaltyMs * std::max(0.0, state.failureRate - totalFailures / count);
-        option.score = score;
         option.load = each.load;
         option.loadAge = state.hasReport ? now - state.reportedAt : duration(0);
-        const double tie = static_cast<double>(mixHash(request.tieBreak, state.number) >> 11);
+        const double tie = static_cast<double>(mixHash(request.tieBreak, state.number) >> 11) / static_cast<double>(1ULL << 53);
+        score -= tie * spreadMs;
+        option.score = score;
         const bool better
             = best.upstream == noUpstreamNumber || score < best.score - 0.001 || (score < best.score + 0.001 && tie > bestTie);
         if (better) {
@@ -428,11 +441,21 @@
     const bool fetches = prompt.holder != nullptr && prompt.holder->number != best.upstream
                          && best.fetchTokens >= best.cachedTokens + limits::leastFetchTokens;
     best.fetchTokens = fetches ? best.fetchTokens - best.cachedTokens : 0;
+    best.unreadTokens -= std::min(best.unreadTokens, best.fetchTokens);
     best.fetchFrom = fetches ? prompt.holder->record.address : std::string();
     return best;
 }
 
-void upstream_set::start(upstream_number number, const prompt_parts &parts, std::uint64_t promptTokens, std::uint64_t heldTokens,
+double upstream_set::unseenReadingMs(std::size_t engines, time_point now) const
+{
+    // The other routers place about as much as this one, and tell it a notice later.
+    const double perMs = m_startedTokens * halved(now - m_startedAt, limits::readingHalfLife) * std::log(2.0)
+                         / milliseconds(limits::readingHalfLife);
+    const double others = static_cast<double>(routers() - 1);
+    return perMs * others * milliseconds(m_noticeInterval) / static_cast<double>(engines) / limits::assumedPrefillTokensPerMs;
+}
+
+void upstream_set::start(upstream_number number, const prompt_parts &parts, std::uint64_t unreadTokens, std::uint64_t heldTokens,
                          time_point now)
 {
     upstream_state *state = mutableState(number);
@@ -440,7 +463,9 @@
         return;
     }
     ++state->inFlight;
-    state->pendingTokens += promptTokens;
+    m_startedTokens = m_startedTokens * halved(now - m_startedAt, limits::readingHalfLife) + static_cast<double>(unreadTokens);
+    m_startedAt = now;
+    state->pendingTokens += unreadTokens;
     state->heldTokens += heldTokens;
     if (now < state->coldUntil) {
         state->coldTokens -= 1.0;
@@ -460,13 +485,13 @@
     }
 }
 
-void upstream_set::firstAnswer(upstream_number number, std::uint64_t promptTokens)
+void upstream_set::firstAnswer(upstream_number number, std::uint64_t unreadTokens)
 {
     upstream_state *state = mutableState(number);
     if (state == nullptr) {
         return;
     }
-    state->pendingTokens -= std::min(state->pendingTokens, promptTokens);
+    state->pendingTokens -= std::min(state->pendingTokens, unreadTokens);
 }
 
 void upstream_set::reportLoad(upstream_number number, const upstream_load &load, time_point now)
@@ -481,7 +506,7 @@
     state->hasReport = true;
 }
 
-void upstream_set::finish(upstream_number number, std::uint64_t promptTokens, std::uint64_t heldTokens, bool awaitsFirst)
+void upstream_set::finish(upstream_number number, std::uint64_t unreadTokens, std::uint64_t heldTokens, bool awaitsFirst)
 {
     upstream_state *state = mutableState(number);
     if (state == nullptr) {
@@ -490,7 +515,7 @@
     state->inFlight -= state->inFlight > 0 ? 1U : 0U;
     state->heldTokens -= std::min(state->heldTokens, heldTokens);
     if (awaitsFirst) {
-        state->pendingTokens -= std::min(state->pendingTokens, promptTokens);
+        state->pendingTokens -= std::min(state->pendingTokens, unreadTokens);
     }
 }
 
