--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -44,6 +44,8 @@
     bool notRun = false; // states that the request did not run
     bool isSigned = false; // carries the upstream's signature
     std::optional<upstream_load> load;
+    bool isLeaving = false; // the upstream will end
+    std::optional<duration> pauseFor = std::nullopt; // the upstream wants no requests of this router for so long
 };
 
 /// Own final answers of a router.
@@ -119,6 +121,11 @@
     std::vector<std::string> live;
 };
 
+/// This router became a lead of its failure domain, or stopped to be one.
+struct role_changed {
+    bool isLead = false;
+};
+
 struct request_received {
     exchange_id exchange = 0;
     request_summary request;
@@ -131,6 +138,7 @@
 /// Another router told its load.
 struct load_told {
     load_notice notice;
+    bool isCounted = true; // false for requests that another notice counts as well
 };
 
 /// Another router told where prompts are cached.
@@ -232,10 +240,10 @@
 {
 public:
     using event = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
-                               entry_event::closures_changed, entry_event::routers_changed, entry_event::request_received,
-                               entry_event::caller_left, entry_event::load_told, entry_event::prompts_told, entry_event::held_parts_read,
-                               entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken,
-                               entry_event::answer_finished, entry_event::drain_requested, entry_event::tick>;
+                               entry_event::closures_changed, entry_event::routers_changed, entry_event::role_changed,
+                               entry_event::request_received, entry_event::caller_left, entry_event::load_told, entry_event::prompts_told,
+                               entry_event::held_parts_read, entry_event::answer_received, entry_event::attempt_failed,
+                               entry_event::stream_broken, entry_event::answer_finished, entry_event::drain_requested, entry_event::tick>;
     using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer,
                                 entry_effect::list_held_parts, entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
 
@@ -259,11 +267,6 @@
         return m_rules.get();
     }
 
-    /// What this router tells the others, since the last call.
-    load_notice takeNotice()
-    {
-        return m_upstreams.takeNotice();
-    }
 
     /// True if what this router knows of cached prompts is more than its own requests since a start.
     bool knowsCaches() const
@@ -271,6 +274,12 @@
         return !m_options.learnsCaches;
     }
 
+    /// Prompts to tell other routers of, since the last call.
+    upstream_set::untold_prompts takePrompts()
+    {
+        return m_upstreams.takePrompts();
+    }
+
     const upstream_set &upstreams() const
     {
         return m_upstreams;
@@ -304,6 +313,7 @@
         unsigned sends = 0; // attempts in which something may have reached an upstream
         std::vector<upstream_number> tried;
         placement_outcome lastPlacement = placement_outcome::chosen;
+        time_point pausedUntil; // with placement_outcome::allPaused
         refusal lastFailure = refusal::noUpstream; // what a final refusal would say
     };
 
@@ -314,6 +324,7 @@
     void on(time_point now, const entry_event::upstream_unlisted &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::closures_changed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::routers_changed &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::role_changed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::request_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::caller_left &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::load_told &input, std::vector<effect> &effects);
@@ -332,6 +343,8 @@
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeWaiting(time_point now, std::vector<effect> &effects);
     bool mayTryAgain(time_point now, exchange &work, std::vector<effect> &effects);
+    /// What an answer asks of this router besides its status: to pause, or to send nothing more.
+    void noteRequests(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
     void endAttempt(time_point now, exchange &work, upstream_verdict verdict);
     void checkTime(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void refuse(time_point now, exchange_id id, exchange &work, refusal reason, std::vector<effect> &effects);
--- a/include/nutmegtally/load_notice.h
+++ b/include/nutmegtally/load_notice.h
@@ -1,21 +1,42 @@
-// What routers tell each other several times a second: their requests at each upstream and where they sent prompts.
-// A lost notice is replaced by the next one.
+// What routers tell each other several times a second: requests at each upstream, where prompts were sent, which upstreams
+// leave. A router tells its own to the leads of its failure domain; they tell sums. A lost notice is replaced by the next one.
 #pragma once
 
 #include <nutmegtally/time.h>
 
+#include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace nutmegtally
 {
 
-/// One router's requests at one upstream.
+/// Whose requests a notice counts.
+enum class notice_scope : std::uint8_t {
+    router, // the teller's own
+    domain, // those of all routers of the teller's failure domain
+    fleet, // those of all routers but the one that is told
+    count
+};
+
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(notice_scope::count)> noticeScopeNames = {
+    "router",
+    "domain",
+    "fleet",
+};
+
+constexpr std::string_view nameOf(notice_scope scope)
+{
+    return noticeScopeNames[static_cast<std::size_t>(scope)];
+}
+
+/// Requests at one upstream.
 struct upstream_share {
-    std::uint64_t upstream = 0; // hash of the instance's name
+    std::uint64_t upstream = 0; // hash of the instance's name; only its upper half is told
     std::uint32_t inFlight = 0;
-    std::uint32_t pendingTokens = 0; // prompt tokens of requests that have no first event
+    std::uint32_t pendingTokens = 0; // to be read for requests that have no first event
 };
 
 /// A prompt that was sent to an upstream.
@@ -24,10 +45,20 @@
     std::vector<std::uint64_t> parts; // ids of the shared parts, in order
 };
 
+/// An incarnation of an upstream that said in an answer that it leaves.
+struct leaving_notice {
+    std::uint64_t upstream = 0; // hash of the instance's name
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const leaving_notice &) const = default;
+};
+
 struct load_notice {
-    std::string router;
+    std::string teller; // what this notice replaces: the last one of the same teller; a router's name, or a domain's
     std::vector<upstream_share> shares; // of upstreams with requests; the others have none
-    std::vector<prompt_notice> prompts; // since the notice before
+    std::vector<prompt_notice> prompts {}; // since the notice before
+    std::vector<leaving_notice> leaving {}; // told for some seconds, so that a lost notice does not matter
+    notice_scope scope = notice_scope::router;
 };
 
 } // namespace nutmegtally
--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -8,6 +8,7 @@
 #include <nutmegtally/stored_object.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -51,17 +52,16 @@
     std::string why;
 };
 
-/// All objects as another router read them.
+/// Objects as another router read them.
 struct snapshot_received {
-    std::vector<stored_object> objects;
-    store_revision asOf = 0;
+    object_snapshot snapshot;
     std::string from;
 };
 
-/// Routers that live, as this one knows them.
-struct routers_changed {
-    std::string self;
-    std::vector<std::string> live; // sorted
+/// What this router does for the others.
+struct role_changed {
+    bool reads = true; // it calls the API itself; otherwise it learns from routers that do
+    bool probes = true; // its waits are short, so that one that was lost without a sign is noticed soon
 };
 
 struct tick {
@@ -97,7 +97,7 @@
 public:
     using event
         = std::variant<follower_event::page_read, follower_event::changes_read, follower_event::history_lost, follower_event::call_failed,
-                       follower_event::snapshot_received, follower_event::routers_changed, follower_event::tick>;
+                       follower_event::snapshot_received, follower_event::role_changed, follower_event::tick>;
     using effect = std::variant<follower_effect::read_page, follower_effect::wait_for_changes, follower_effect::object_changed,
                                 follower_effect::object_removed, log_record>;
 
@@ -117,6 +117,9 @@
         return m_failures == 0;
     }
 
+    /// What a router needs that has the state at @p since; all objects if its removals are not known that far back.
+    object_snapshot snapshotSince(store_revision since, time_point now) const;
+
     /// True if another router knows a newer and different set of objects.
     bool isBehind(store_revision asOf, std::uint64_t hash) const
     {
@@ -140,6 +143,11 @@
     }
 
 private:
+    struct removal {
+        std::string name;
+        store_revision revision = 0; // of the state without the object
+    };
+
     enum class phase : std::uint8_t {
         idle, // the next call is due at m_callAt
         listing,
@@ -151,15 +159,17 @@
     void on(time_point now, const follower_event::history_lost &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects);
-    void on(time_point now, const follower_event::routers_changed &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::role_changed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::tick &input, std::vector<effect> &effects);
 
     void answered(time_point now, std::vector<effect> &effects);
     void startList(time_point now, std::vector<effect> &effects);
     void startWait(time_point now, std::vector<effect> &effects);
-    void replaceAll(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects);
+    void replaceAll(const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects);
     void change(const stored_object &object, std::vector<effect> &effects);
-    void remove(time_point now, const std::string &name, std::vector<effect> &effects);
+    void remove(const std::string &name, store_revision revision, duration grace, std::vector<effect> &effects);
+    void logRemoval(const std::string &name, store_revision revision);
+    duration missingGrace(time_point now) const;
 
     follower_options m_options;
     std::map<std::string, stored_object> m_objects;
@@ -170,9 +180,10 @@
     bool m_isComplete = false;
     bool m_mustList = true; // the history since m_asOf is not known to be there
     unsigned m_failures = 0; // calls that failed in a row
-    /// A wait may be lost without a sign, and its router hears of nothing until it ends. Routers that probe notice soon,
-    /// with short waits; the others learn from them.
+    bool m_reads = true;
     bool m_isProbing = true;
+    std::deque<removal> m_removals; // in the order of their revisions, at most limits::removalsKept
+    store_revision m_removalsSince = 0; // all removals after this revision are in m_removals
     time_point m_callAt;
     time_point m_failingSince;
     time_point m_calledAt; // start of the running call
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -60,11 +60,12 @@
     allFull, // each one has as much work as it may get
     allCold, // the ones with room are cold and have got their requests of this second
     allTried,
+    allPaused, // the ones with room asked for a pause
     count
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(placement_outcome::count)> placementOutcomeNames = {
-    "chosen", "none_listed", "all_full", "all_cold", "all_tried",
+    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused",
 };
 
 constexpr std::string_view nameOf(placement_outcome outcome)
@@ -83,6 +84,7 @@
     std::uint64_t fetchTokens = 0; // what it keeps beyond the chosen one
     std::uint64_t unreadTokens = 0; // of the prompt, which the chosen one has to read
     unsigned candidates = 0;
+    time_point pausedUntil; // with allPaused: when the first of the pauses ends
 };
 
 /// How a request ended at an upstream, as far as it says something about the upstream.
@@ -97,9 +99,10 @@
     count
 };
 
-/// Another router's requests at an upstream, as it told last.
+/// Other routers' requests at an upstream, as a teller told last.
 struct told_share {
-    std::uint32_t router = 0; // index in the set's table of router names
+    std::uint32_t teller = 0; // index in the set's table of tellers
+    notice_scope scope = notice_scope::router;
     std::uint32_t inFlight = 0;
     std::uint32_t pendingTokens = 0;
     time_point toldAt;
@@ -124,6 +127,10 @@
     time_point avoidedUntil;
     double coldTokens = 0; // token bucket of starts while cold
     time_point coldRefilledAt;
+    bool saidLeaving = false; // in an answer; holds until its process starts anew, whatever the list says
+    time_point saidLeavingAt;
+    time_point pausedUntil; // it asked this router for a pause; unlike avoidedUntil this holds without an alternative too
+    bool isProbed = false; // after a pause: one request at a time until one was served
     bool missing = false; // absent from the list, kept until missingUntil
     time_point missingUntil;
 };
@@ -162,10 +169,35 @@
     void firstAnswer(upstream_number number, std::uint64_t unreadTokens);
 
     /// Takes over what another router told.
-    void hear(const load_notice &notice, time_point now);
+    /// @param isCounted False for requests that another notice counts as well; the rest of the notice is taken.
+    void hear(const load_notice &notice, bool isCounted, time_point now);
 
-    /// What this router tells: its shares, and the prompts that it sent since the last call.
-    load_notice takeNotice();
+    /// A lead passes on what the routers of its domain and other domains' leads tell it. A change of roles forgets all that was told,
+    /// as sums hold what single notices held before.
+    void setLead(bool isLead);
+
+    /// Requests of this router.
+    load_notice ownNotice(time_point now) const;
+
+    /// Requests of the routers that told their own, with this one's.
+    load_notice domainNotice(time_point now) const;
+
+    /// Requests of all routers.
+    load_notice fleetNotice(time_point now) const;
+
+    /// The same without what one of them told of its own.
+    load_notice withoutOwn(load_notice fleet, const std::string &router) const;
+
+    /// Routers and domains that told their requests lately.
+    std::size_t tellers(time_point now) const;
+
+    /// Prompts to tell of, since the last call.
+    struct untold_prompts {
+        std::vector<prompt_notice> ofDomain; // sent by routers of this domain
+        std::vector<prompt_notice> ofOthers; // told by other domains' leads; for this domain only
+    };
+
+    untold_prompts takePrompts();
 
     void reportLoad(upstream_number number, const upstream_load &load, time_point now);
 
@@ -185,6 +217,12 @@
     /// Engines whose cached parts this router should list: no router told of them, and it is this one's turn.
     std::vector<upstream_record> unknownEngines(const traffic_rules &rules) const;
 
+    /// An answer said that the upstream leaves. @return True if that is new.
+    bool noteLeaving(upstream_number number, time_point now);
+
+    /// An answer asked for a pause: choose() leaves the upstream out until it is over.
+    void pause(upstream_number number, duration span, time_point now);
+
     void judge(upstream_number number, upstream_verdict verdict, time_point now);
 
     /// @return nullptr if the number is no longer listed.
@@ -225,7 +263,12 @@
         std::uint64_t heldTokens = 0; // that it keeps
     };
 
-    void notePrompts(const std::vector<prompt_notice> &prompts, time_point now);
+    /// @param untold Where to put those that are news to others; null for nowhere.
+    void notePrompts(const std::vector<prompt_notice> &prompts, std::vector<prompt_notice> *untold, time_point now);
+    void takeShares(const load_notice &notice, time_point now);
+    load_notice sumOf(notice_scope scope, time_point now) const;
+    void addLeaving(load_notice &notice, time_point now) const;
+    const upstream_number *numberOf(std::uint64_t hash) const;
     bool isOpen(const upstream_state &upstream) const;
     bool mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const;
     std::vector<candidate> candidatesFor(const placement_request &request, placement &result, double &totalLoad, double &totalFailures,
@@ -251,16 +294,19 @@
     std::uint64_t m_selfHash = 0; // of m_self
     std::vector<std::uint64_t> m_routerHashes; // of m_routers
     prefix_map m_prefixes; // prompts of this router and those that others told of
-    std::unordered_map<std::uint64_t, upstream_number> m_numberOf; // by hash of the instance's name
-    std::unordered_map<std::string, std::uint32_t> m_tellers; // index of each router that ever told its load
+    std::unordered_map<std::uint32_t, upstream_number> m_numberOf; // by the upper half of the hash of the instance's name
+    std::unordered_map<std::string, std::uint32_t> m_tellers; // index of each teller of a notice
     /// Last notice of another router.
     struct told_notice {
         std::vector<upstream_number> upstreams;
+        notice_scope scope = notice_scope::router;
         time_point at;
     };
 
     std::unordered_map<std::uint32_t, told_notice> m_toldBy;
-    std::vector<prompt_notice> m_untold; // prompts sent since the last notice
+    std::vector<prompt_notice> m_untold; // prompts sent by routers of this domain, for other routers
+    std::vector<prompt_notice> m_untoldHere; // prompts of other domains, for the routers of this one
+    bool m_isLead = true; // until others are known, as in router_leads
     std::unordered_set<upstream_number> m_learnt; // engines of which another router or they themselves told all they keep
     upstream_number m_lastNumber = noUpstreamNumber;
     double m_startedTokens = 0; // to be read for this router's requests; halved with limits::readingHalfLife
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -20,32 +20,14 @@
 
 constexpr duration tickInterval = 100ms; // of followers, news and the shutdown
 constexpr duration callMargin = 1s; // for the answer to a wait beyond the time it may wait
-constexpr duration upstreamsPause = 400ms; // upstreams change one by one while they are replaced; each call is priced
+constexpr duration upstreamsPause = 200ms; // upstreams change one by one while they are replaced; each call is priced
 constexpr duration listTimeout = 1500ms; // for one page of a list; a slow store answers in hundreds of milliseconds
-constexpr duration askTimeout = 800ms; // for another router's answer
-constexpr duration loadInterval = 100ms; // between load notices in a small fleet; a request's first event takes about as long
-constexpr duration loadIntervalPerRouter = 10ms; // a router takes a hundred notices a second, whatever their number
-constexpr duration loadPeerAge = 5s; // routers that were not heard of for longer get no notices
 constexpr std::uint64_t leastPartTokens = 1500; // of cached parts that are worth a line in a notice; shorter ones are read soon
 constexpr duration gapWorthTelling = 1s; // between ticks; the process was frozen or starved
 constexpr duration idleBeforeShutdownClose = 1500ms; // of a caller's connection; a busier one is told to close by its next answer
 constexpr duration shutdownMargin = 200ms; // before the platform kills the process
 constexpr std::size_t reservedDescriptors = 200; // for files and own connections
 
-template<typename Effects, typename Handler>
-void forEach(const Effects &effects, Handler handle)
-{
-    for (const auto &effect : effects) {
-        std::visit(handle, effect);
-    }
-}
-
-constexpr std::array<std::string_view, 3> followedNames = {
-    platform::kind::configuration,
-    platform::kind::upstreams,
-    platform::kind::closures,
-};
-
 follower_options followerFor(std::string_view kind)
 {
     follower_options options;
@@ -77,7 +59,7 @@
 
 news_options newsOptionsFrom(const entry_settings &settings)
 {
-    return {settings.name, settings.routersListen, settings.seeds};
+    return {settings.name, settings.routersListen, settings.domain, settings.seeds};
 }
 
 own_answer plainAnswer(int status, std::string text)
@@ -100,6 +82,7 @@
     , m_followers {object_follower(followerFor(followedNames[0])), object_follower(followerFor(followedNames[1])),
                    object_follower(followerFor(followedNames[2]))}
     , m_news(newsOptionsFrom(settings))
+    , m_leads(settings.name, settings.domain)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_tickTimer(context)
     , m_loadSocket(context)
@@ -142,9 +125,9 @@
     m_loadSocket.bind({loadEndpoint->address(), loadEndpoint->port()});
     m_loadSocket.non_blocking(true);
     awaitSignals();
-    hearLoad();
-    tellLoad();
+    hearNotices();
     tick();
+    tellNotices();
 }
 
 time_point entry_daemon::now() const
@@ -259,21 +242,6 @@
     m_serving.post(entry_event::closures_changed {std::move(domains)});
 }
 
-void entry_daemon::apply(const router_news::event &event)
-{
-    std::vector<router_news::effect> effects;
-    m_news.apply(now(), event, effects);
-    forEach(effects, [this](const auto &effect) { carryOut(effect); });
-}
-
-void entry_daemon::carryOut(const news_effect::routers_changed &changed)
-{
-    m_serving.post(entry_event::routers_changed {changed.live});
-    for (std::size_t i = 0; i < followedKinds; ++i) {
-        apply(static_cast<followed>(i), follower_event::routers_changed {m_settings.name, changed.live});
-    }
-}
-
 void entry_daemon::carryOut(const log_record &record)
 {
     m_log.write(now(), record);
@@ -282,38 +250,6 @@
     }
 }
 
-news_message entry_daemon::ownNews() const
-{
-    news_message message;
-    message.name = m_settings.name;
-    message.address = m_settings.routersListen;
-    message.loadAddress = m_settings.loadListen;
-    message.routers = m_news.known(now());
-    message.digests = ownDigests();
-    return message;
-}
-
-std::vector<kind_digest> entry_daemon::ownDigests() const
-{
-    std::vector<kind_digest> digests;
-    for (std::size_t i = 0; i < followedKinds; ++i) {
-        digests.push_back({std::string(followedNames[i]), m_followers[i].asOf(), m_followers[i].contentHash()});
-    }
-    return digests;
-}
-
-void entry_daemon::takeDatagram(const router_datagram &datagram)
-{
-    bool isNewer = false;
-    for (std::size_t i = 0; i < followedKinds; ++i) {
-        for (const kind_digest &digest : datagram.digests) {
-            isNewer = isNewer || (digest.kind == followedNames[i] && m_followers[i].isBehind(digest.asOf, digest.hash));
-        }
-    }
-    apply(news_event::digest_compared {datagram.load.router, isNewer});
-    m_serving.post(entry_event::load_told {datagram.load});
-}
-
 void entry_daemon::listHeldParts(const entry_effect::list_held_parts &listed)
 {
     call_request request;
@@ -342,120 +278,6 @@
     });
 }
 
-void entry_daemon::carryOut(const news_effect::ask &question)
-{
-    call_request request;
-    request.address = question.address;
-    request.method = "POST";
-    request.target = std::string(routersPath);
-    news_message news = ownNews();
-    news.wantsPrompts = m_wantsPrompts;
-    request.body = pack(encodeNews(news));
-    request.timeout = askTimeout;
-    m_calls.call(request, [this, address = question.address](const call_result &result) {
-        if (result.status != 200) {
-            apply(news_event::exchange_failed {address});
-            return;
-        }
-        try {
-            takeNews(decodeNews(unpack(result.body)));
-            apply(news_event::exchange_done {});
-        } catch (const std::exception &) {
-            apply(news_event::exchange_failed {address});
-        }
-    });
-}
-
-void entry_daemon::takeNews(const news_message &message)
-{
-    apply(news_event::heard {message.name, message.address, message.loadAddress, message.routers});
-    if (!message.prompts.empty()) {
-        m_wantsPrompts = false;
-    }
-    for (const kind_snapshot &snapshot : message.snapshots) {
-        for (std::size_t i = 0; i < followedKinds; ++i) {
-            if (followedNames[i] == snapshot.kind) {
-                apply(static_cast<followed>(i), follower_event::snapshot_received {snapshot.objects, snapshot.asOf, message.name});
-            }
-        }
-    }
-    // After the snapshots: prompts at upstreams that are not listed yet would be lost.
-    m_serving.post(entry_event::prompts_told {message.prompts});
-}
-
-void entry_daemon::tellLoad()
-{
-    const std::vector<router_notice> routers = m_news.known(now());
-    const std::string bytes = encodeDatagram({m_serving.takeNotice(), ownDigests()});
-    for (const router_notice &router : routers) {
-        const auto peer = parseEndpoint(router.loadAddress);
-        if (peer && router.age < loadPeerAge) {
-            boost::system::error_code ignored; // the next notice replaces one that was lost
-            m_loadSocket.send_to(boost::asio::buffer(bytes), {peer->address(), peer->port()}, 0, ignored);
-        }
-    }
-    m_loadTimer.expires_after(std::max(loadInterval, loadIntervalPerRouter * static_cast<std::int64_t>(routers.size())));
-    m_loadTimer.async_wait([this](const boost::system::error_code &fault) {
-        if (!fault && !m_stopped) {
-            tellLoad();
-        }
-    });
-}
-
-void entry_daemon::hearLoad()
-{
-    m_loadSocket.async_receive_from(boost::asio::buffer(m_datagram), m_loadSender,
-                                    [this](const boost::system::error_code &fault, std::size_t bytes) {
-                                        if (fault == boost::asio::error::operation_aborted) {
-                                            return;
-                                        }
-                                        if (!fault) {
-                                            try {
-                                                takeDatagram(decodeDatagram(m_datagram.data(), bytes));
-                                            } catch (const std::exception &problem) {
-                                                log_line line;
-                                                line.with("from", m_loadSender.address().to_string()).with("why", problem.what());
-                                                carryOut(log_record {log_event::noticeUnreadable, line.take()});
-                                            }
-                                        }
-                                        hearLoad();
-                                    });
-}
-
-own_answer entry_daemon::answerRouter(const http_exchange &asked)
-{
-    if (asked.target() != routersPath) {
-        return plainAnswer(404, "this listener serves other routers\n");
-    }
-    news_message question;
-    try {
-        question = decodeNews(unpack(asked.body()));
-    } catch (const std::exception &fault) {
-        return plainAnswer(400, std::string(fault.what()) + '\n');
-    }
-    apply(news_event::heard {question.name, question.address, question.loadAddress, question.routers});
-    news_message answer = ownNews();
-    for (std::size_t i = 0; i < followedKinds; ++i) {
-        const object_follower &own = m_followers[i];
-        for (const kind_digest &digest : question.digests) {
-            const bool isNewer = digest.kind == followedNames[i] && own.isComplete() && own.asOf() > digest.asOf;
-            // An empty set also has to be told once: the asker does not know yet that there is nothing.
-            if (isNewer && (digest.asOf == 0 || own.contentHash() != digest.hash)) {
-                kind_snapshot snapshot {digest.kind, own.asOf(), {}};
-                for (const auto &[name, object] : own.objects()) {
-                    snapshot.objects.push_back(object);
-                }
-                answer.snapshots.push_back(std::move(snapshot));
-            }
-        }
-    }
-    // A router that has just started as well would tell of its last second only.
-    if (question.wantsPrompts && m_serving.decisions().knowsCaches()) {
-        answer.prompts = m_serving.decisions().upstreams().knownPrompts(now());
-    }
-    return {200, {{"Content-Type", "application/octet-stream"}}, pack(encodeNews(answer))};
-}
-
 bool entry_daemon::isReady() const
 {
     return !m_shutdownSince && m_serving.decisions().hasRules() && m_followers[static_cast<std::size_t>(followed::upstreams)].isComplete();
@@ -500,6 +322,7 @@
         hasContact = hasContact && m_followers[i].hasContact();
     }
     apply(news_event::tick {hasContact});
+    updateRole();
     if (isReady() && !m_wasReady) {
         m_wasReady = true;
         carryOut(log_record {log_event::daemonReady, {}});
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -7,6 +7,7 @@
 #include "entry/entry_settings.h"
 #include "entry/json_log.h"
 #include "entry/news_codec.h"
+#include "platform/names.h"
 #include "platform/request_codec.h"
 #include "serving/call_client.h"
 #include "serving/exchange_server.h"
@@ -14,6 +15,7 @@
 #include "serving/serving_core.h"
 
 #include <nutmegtally/object_follower.h>
+#include <nutmegtally/router_leads.h>
 #include <nutmegtally/router_news.h>
 
 #include <boost/asio/io_context.hpp>
@@ -50,6 +52,26 @@
     };
 
     static constexpr std::size_t followedKinds = static_cast<std::size_t>(followed::count);
+    static constexpr std::array<std::string_view, followedKinds> followedNames = {
+        platform::kind::configuration,
+        platform::kind::upstreams,
+        platform::kind::closures,
+    };
+
+    template<typename Effects, typename Handler>
+    static void forEach(const Effects &effects, Handler handle)
+    {
+        for (const auto &effect : effects) {
+            std::visit(handle, effect);
+        }
+    }
+
+    /// A snapshot that was packed for a router and serves others that lack the same.
+    struct packed_snapshot {
+        store_revision since = 0;
+        store_revision asOf = 0;
+        std::string bytes;
+    };
 
     time_point now() const;
     object_follower &follower(followed kind);
@@ -70,13 +92,19 @@
     void carryOut(const log_record &record);
     news_message ownNews() const;
     std::vector<kind_digest> ownDigests() const;
+    bool hasContact() const;
+    void updateRole();
     void takeDatagram(const router_datagram &datagram);
-    void takeNews(const news_message &message);
+    void takeNews(const std::vector<std::string> &parts);
     own_answer answerRouter(const http_exchange &asked);
+    const std::string &packedSnapshot(followed kind, store_revision since);
 
     void listHeldParts(const entry_effect::list_held_parts &listed);
-    void tellLoad();
-    void hearLoad();
+    void tellNotices();
+    void hearNotices();
+    void sendNotice(const router_place &router, const router_datagram &datagram);
+    void tellAsMember(router_datagram datagram);
+    void tellAsLead(router_datagram datagram);
 
     own_answer answerReady() const;
     own_answer answerMetrics(const std::string &target);
@@ -95,12 +123,17 @@
     serving_core<platform::request_codec> m_serving;
     std::array<object_follower, followedKinds> m_followers;
     router_news m_news;
+    router_leads m_leads;
+    std::array<packed_snapshot, followedKinds> m_packed;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::ip::udp::socket m_loadSocket;
     boost::asio::steady_timer m_loadTimer;
     boost::asio::ip::udp::endpoint m_loadSender; // of the datagram that is received
-    std::array<char, 8192> m_datagram;
+    std::array<char, 65536> m_datagram;
+    std::size_t m_bytesTold = 0; // in the notices of one round
+    duration m_tellInterval {0};
+    unsigned m_rounds = 0; // of notices
     std::unique_ptr<listener> m_callers;
     std::unique_ptr<exchange_server> m_readyServer;
     std::unique_ptr<exchange_server> m_routerServer;
--- a/programs/entry/news_codec.cpp
+++ b/programs/entry/news_codec.cpp
@@ -2,6 +2,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <limits>
+#include <stdexcept>
+
 namespace nutmegtally
 {
 
@@ -10,6 +14,32 @@
 namespace
 {
 
+constexpr std::uint32_t pendingUnit = 64; // tokens; below a step of the score that they go into
+
+/// Appends a number, lowest byte first; one that does not fit becomes the highest that does.
+template<typename Number>
+void putNumber(std::string &bytes, std::uint64_t value)
+{
+    value = std::min<std::uint64_t>(value, std::numeric_limits<Number>::max());
+    for (std::size_t i = 0; i < sizeof(Number); ++i) {
+        bytes += static_cast<char>((value >> (8 * i)) & 0xff);
+    }
+}
+
+template<typename Number>
+Number takeNumber(std::string_view &bytes)
+{
+    if (bytes.size() < sizeof(Number)) {
+        throw std::runtime_error("a number is cut");
+    }
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < sizeof(Number); ++i) {
+        value |= std::uint64_t(static_cast<unsigned char>(bytes[i])) << (8 * i);
+    }
+    bytes.remove_prefix(sizeof(Number));
+    return static_cast<Number>(value);
+}
+
 json promptsJson(const std::vector<prompt_notice> &prompts)
 {
     json list = json::array();
@@ -35,28 +65,14 @@
     json routers = json::array();
     for (const router_notice &notice : message.routers) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(notice.age).count();
-        routers.push_back({notice.name, notice.address, notice.loadAddress, age});
+        routers.push_back({notice.name, notice.address, notice.loadAddress, notice.domain, age});
     }
     json digests = json::object();
     for (const kind_digest &digest : message.digests) {
         digests[digest.kind] = {digest.asOf, digest.hash};
     }
-    json snapshots = json::object();
-    for (const kind_snapshot &snapshot : message.snapshots) {
-        json objects = json::array();
-        for (const stored_object &object : snapshot.objects) {
-            objects.push_back({object.name, object.revision, object.text});
-        }
-        snapshots[snapshot.kind] = {{"asOf", snapshot.asOf}, {"objects", std::move(objects)}};
-    }
-    json document = {{"name", message.name},
-                     {"address", message.address},
-                     {"loadAddress", message.loadAddress},
-                     {"routers", std::move(routers)},
-                     {"digests", std::move(digests)}};
-    if (!snapshots.empty()) {
-        document["snapshots"] = std::move(snapshots);
-    }
+    json document = {{"name", message.name},     {"address", message.address},    {"loadAddress", message.loadAddress},
+                     {"domain", message.domain}, {"routers", std::move(routers)}, {"digests", std::move(digests)}};
     if (message.wantsPrompts) {
         document["wantsPrompts"] = true;
     }
@@ -73,23 +89,15 @@
     message.name = document.at("name").get<std::string>();
     message.address = document.at("address").get<std::string>();
     message.loadAddress = document.at("loadAddress").get<std::string>();
+    message.domain = document.at("domain").get<std::string>();
     for (const json &item : document.at("routers")) {
-        const std::chrono::milliseconds age(item.at(3).get<std::int64_t>());
-        message.routers.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<std::string>(), age});
+        const std::chrono::milliseconds age(item.at(4).get<std::int64_t>());
+        message.routers.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<std::string>(),
+                                   item.at(3).get<std::string>(), age});
     }
     for (const auto &[kind, digest] : document.at("digests").items()) {
         message.digests.push_back({kind, digest.at(0).get<store_revision>(), digest.at(1).get<std::uint64_t>()});
     }
-    if (const auto snapshots = document.find("snapshots"); snapshots != document.end()) {
-        for (const auto &[kind, item] : snapshots->items()) {
-            kind_snapshot snapshot {kind, item.at("asOf").get<store_revision>(), {}};
-            for (const json &object : item.at("objects")) {
-                snapshot.objects.push_back(
-                    {object.at(0).get<std::string>(), object.at(1).get<store_revision>(), object.at(2).get<std::string>(), false});
-            }
-            message.snapshots.push_back(std::move(snapshot));
-        }
-    }
     message.wantsPrompts = document.value("wantsPrompts", false);
     if (const auto prompts = document.find("prompts"); prompts != document.end()) {
         message.prompts = promptsFrom(*prompts);
@@ -97,18 +105,85 @@
     return message;
 }
 
+std::string encodeSnapshot(const kind_snapshot &snapshot)
+{
+    json objects = json::array();
+    for (const stored_object &object : snapshot.state.objects) {
+        objects.push_back({object.name, object.revision, object.text});
+    }
+    const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(snapshot.state.missingGrace).count();
+    const json document = {{"kind", snapshot.kind},         {"since", snapshot.state.since},     {"asOf", snapshot.state.asOf},
+                           {"objects", std::move(objects)}, {"removed", snapshot.state.removed}, {"graceMs", grace}};
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+kind_snapshot decodeSnapshot(const std::string &text)
+{
+    const json document = json::parse(text);
+    kind_snapshot snapshot;
+    snapshot.kind = document.at("kind").get<std::string>();
+    snapshot.state.since = document.at("since").get<store_revision>();
+    snapshot.state.asOf = document.at("asOf").get<store_revision>();
+    snapshot.state.missingGrace = std::chrono::milliseconds(document.at("graceMs").get<std::int64_t>());
+    for (const json &object : document.at("objects")) {
+        snapshot.state.objects.push_back(
+            {object.at(0).get<std::string>(), object.at(1).get<store_revision>(), object.at(2).get<std::string>(), false});
+    }
+    snapshot.state.removed = document.at("removed").get<std::vector<std::string>>();
+    return snapshot;
+}
+
+std::string joinParts(const std::vector<std::string> &parts)
+{
+    std::string body;
+    for (const std::string &part : parts) {
+        putNumber<std::uint32_t>(body, part.size());
+        body += part;
+    }
+    return body;
+}
+
+std::vector<std::string> splitParts(std::string_view body)
+{
+    std::vector<std::string> parts;
+    while (!body.empty()) {
+        const std::size_t size = takeNumber<std::uint32_t>(body);
+        if (size > body.size()) {
+            throw std::runtime_error("a part of a message is cut");
+        }
+        parts.emplace_back(body.substr(0, size));
+        body.remove_prefix(size);
+    }
+    return parts;
+}
+
 std::string encodeDatagram(const router_datagram &datagram)
 {
-    json shares = json::array();
-    for (const upstream_share &share : datagram.load.shares) {
-        shares.push_back({share.upstream, share.inFlight, share.pendingTokens});
+    const load_notice &load = datagram.load;
+    std::string shares;
+    for (const upstream_share &share : load.shares) {
+        putNumber<std::uint32_t>(shares, share.upstream >> 32);
+        putNumber<std::uint16_t>(shares, share.inFlight);
+        putNumber<std::uint16_t>(shares, (share.pendingTokens + pendingUnit - 1) / pendingUnit);
+    }
+    std::string heardOf;
+    for (const std::uint32_t router : datagram.heardOf) {
+        putNumber<std::uint32_t>(heardOf, router);
     }
     json digests = json::array();
     for (const kind_digest &digest : datagram.digests) {
         digests.push_back({digest.kind, digest.asOf, digest.hash});
     }
+    json leaving = json::array();
+    for (const leaving_notice &each : load.leaving) {
+        leaving.push_back({each.upstream, each.incarnation});
+    }
+    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(datagram.interval).count();
     std::string bytes;
-    json::to_msgpack(json::array({datagram.load.router, std::move(shares), promptsJson(datagram.load.prompts), std::move(digests)}), bytes);
+    json::to_msgpack(json::array({datagram.name, datagram.isLead, datagram.hasContact, datagram.routersSummed, interval, load.teller,
+                                  static_cast<unsigned>(load.scope), shares, promptsJson(load.prompts), std::move(leaving),
+                                  std::move(digests), heardOf}),
+                     bytes);
     return bytes;
 }
 
@@ -116,16 +191,38 @@
 {
     const json document = json::from_msgpack(data, data + size);
     router_datagram datagram;
-    datagram.load.router = document.at(0).get<std::string>();
-    for (const json &share : document.at(1)) {
-        datagram.load.shares.push_back(
-            {share.at(0).get<std::uint64_t>(), share.at(1).get<std::uint32_t>(), share.at(2).get<std::uint32_t>()});
-    }
-    datagram.load.prompts = promptsFrom(document.at(2));
-    for (const json &digest : document.at(3)) {
+    load_notice &load = datagram.load;
+    datagram.name = document.at(0).get<std::string>();
+    datagram.isLead = document.at(1).get<bool>();
+    datagram.hasContact = document.at(2).get<bool>();
+    datagram.routersSummed = document.at(3).get<std::uint32_t>();
+    datagram.interval = std::chrono::milliseconds(document.at(4).get<std::uint32_t>());
+    load.teller = document.at(5).get<std::string>();
+    const auto scope = document.at(6).get<unsigned>();
+    if (scope >= static_cast<unsigned>(notice_scope::count)) {
+        throw std::runtime_error("a notice of an unknown scope");
+    }
+    load.scope = static_cast<notice_scope>(scope);
+    const auto &shares = document.at(7).get_ref<const std::string &>();
+    for (std::string_view rest = shares; !rest.empty();) {
+        upstream_share share;
+        share.upstream = std::uint64_t(takeNumber<std::uint32_t>(rest)) << 32;
+        share.inFlight = takeNumber<std::uint16_t>(rest);
+        share.pendingTokens = takeNumber<std::uint16_t>(rest) * pendingUnit;
+        load.shares.push_back(share);
+    }
+    load.prompts = promptsFrom(document.at(8));
+    for (const json &each : document.at(9)) {
+        load.leaving.push_back({each.at(0).get<std::uint64_t>(), each.at(1).get<std::uint64_t>()});
+    }
+    for (const json &digest : document.at(10)) {
         datagram.digests.push_back(
             {digest.at(0).get<std::string>(), digest.at(1).get<store_revision>(), digest.at(2).get<std::uint64_t>()});
     }
+    const auto &heardOf = document.at(11).get_ref<const std::string &>();
+    for (std::string_view rest = heardOf; !rest.empty();) {
+        datagram.heardOf.push_back(takeNumber<std::uint32_t>(rest));
+    }
     return datagram;
 }
 
--- a/programs/entry/news_codec.h
+++ b/programs/entry/news_codec.h
@@ -22,17 +22,22 @@
     std::uint64_t hash = 0; // object_follower::contentHash
 };
 
-/// All objects of a kind.
+/// Objects of a kind.
 struct kind_snapshot {
     std::string kind;
-    store_revision asOf = 0;
-    std::vector<stored_object> objects;
+    object_snapshot state;
 };
 
 /// What routers send each other several times a second.
 struct router_datagram {
+    std::string name; // of the sender
+    bool isLead = false;
+    bool hasContact = true; // the platform answers the sender
+    std::uint32_t routersSummed = 0; // a lead's: routers whose load it has
+    duration interval {0}; // between two of the sender's datagrams
     load_notice load;
     std::vector<kind_digest> digests; // a router whose own are older for long does not hear the platform
+    std::vector<std::uint32_t> heardOf; // routers that the sender heard of lately; not in each datagram
 };
 
 std::string encodeDatagram(const router_datagram &datagram);
@@ -40,14 +45,14 @@
 /// @throws std::exception with a reason if the bytes are not a datagram of a router.
 router_datagram decodeDatagram(const char *data, std::size_t size);
 
-/// Question and answer have the same form; only an answer has snapshots.
+/// Question and answer have the same form.
 struct news_message {
     std::string name;
     std::string address;
     std::string loadAddress;
+    std::string domain;
     std::vector<router_notice> routers;
     std::vector<kind_digest> digests;
-    std::vector<kind_snapshot> snapshots; // of kinds of which the asker has older objects
     bool wantsPrompts = false; // questions of a router that has just started
     std::vector<prompt_notice> prompts; // where prompts are cached, if the asker wants to know
 };
@@ -57,4 +62,16 @@
 /// @throws std::exception with a reason if the body is not a message.
 news_message decodeNews(const std::string &body);
 
+std::string encodeSnapshot(const kind_snapshot &snapshot);
+
+/// @throws std::exception with a reason if the text is not a snapshot.
+kind_snapshot decodeSnapshot(const std::string &text);
+
+/// A body of several parts. An answer has the message, then snapshots of the kinds of which the asker has older objects; these are
+/// packed once for all routers that ask.
+std::string joinParts(const std::vector<std::string> &parts);
+
+/// @throws std::exception with a reason if the body was not made by joinParts().
+std::vector<std::string> splitParts(std::string_view body);
+
 } // namespace nutmegtally
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -92,10 +92,10 @@
         return m_reducer;
     }
 
-    /// What this router tells the others of its load.
-    load_notice takeNotice()
+    /// Prompts to tell other routers of, since the last call.
+    upstream_set::untold_prompts takePrompts()
     {
-        return m_reducer.takeNotice();
+        return m_reducer.takePrompts();
     }
 
     std::size_t callers() const
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -143,6 +143,14 @@
     static_cast<void>(now);
 }
 
+void entry_core::on(time_point, const entry_event::role_changed &input, std::vector<effect> &effects)
+{
+    m_upstreams.setLead(input.isLead);
+    log_line line;
+    line.with("lead", input.isLead);
+    effects.push_back(record(log_event::roleChanged, line));
+}
+
 void entry_core::on(time_point now, const entry_event::request_received &input, std::vector<effect> &effects)
 {
     exchange &work = m_exchanges[input.exchange];
@@ -194,6 +202,7 @@
     wanted.tried = &work.tried;
     const placement choice = m_upstreams.choose(wanted, *work.rules, now);
     work.lastPlacement = choice.outcome;
+    work.pausedUntil = choice.pausedUntil;
     if (choice.outcome != placement_outcome::chosen) {
         return false;
     }
@@ -252,7 +261,8 @@
     if (place(now, id, work, effects)) {
         return;
     }
-    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold;
+    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
+                       || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.waitUntil);
     if (waits && work.sends == 0 && m_waiting.size() < limits::queueLimit && now < work.waitUntil) {
         work.state = phase::waiting;
         m_waiting.push_back(id);
@@ -316,6 +326,21 @@
     work.awaitsFirst = false;
 }
 
+void entry_core::noteRequests(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects)
+{
+    if (answer.isLeaving && m_upstreams.noteLeaving(work.upstream, now)) {
+        log_line line = attemptLine(now, work);
+        line.with("said_by", "answer");
+        effects.push_back(record(log_event::upstreamLeaving, line));
+    }
+    if (answer.pauseFor) {
+        m_upstreams.pause(work.upstream, *answer.pauseFor, now);
+        log_line line = attemptLine(now, work);
+        line.with("pause_ms", *answer.pauseFor);
+        effects.push_back(record(log_event::upstreamPaused, line));
+    }
+}
+
 void entry_core::on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects)
 {
     const auto found = m_exchanges.find(input.exchange);
@@ -327,6 +352,7 @@
     if (answer.load) {
         m_upstreams.reportLoad(work.upstream, *answer.load, now);
     }
+    noteRequests(now, work, answer, effects);
     log_line line = attemptLine(now, work);
     line.with("status", answer.status).with("not_run", answer.notRun).with("signed", answer.isSigned);
     const bool isSuccess = answer.status >= 200 && answer.status < 300;
@@ -466,7 +492,7 @@
 
 void entry_core::on(time_point now, const entry_event::load_told &input, std::vector<effect> &)
 {
-    m_upstreams.hear(input.notice, now);
+    m_upstreams.hear(input.notice, input.isCounted, now);
 }
 
 void entry_core::on(time_point now, const entry_event::prompts_told &input, std::vector<effect> &)
@@ -578,6 +604,9 @@
     answer.exchange = id;
     answer.reason = reason;
     answer.retryAfter = retryAfterFor(reason);
+    if (answer.retryAfter && work.lastPlacement == placement_outcome::allPaused) {
+        answer.retryAfter = std::max(*answer.retryAfter, work.pausedUntil - now);
+    }
     effects.push_back(answer);
     log_line line;
     line.with("request", work.request.requestId)
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -3,7 +3,6 @@
 #include <nutmegtally/ids.h>
 #include <nutmegtally/log_line.h>
 #include <nutmegtally/object_follower.h>
-#include <nutmegtally/router_rank.h>
 
 #include <algorithm>
 #include <unordered_set>
@@ -81,11 +80,15 @@
     if (input.asOf >= m_asOf) {
         // Later pages may hold newer objects than the first; the wait that follows repeats what changed meanwhile.
         m_asOf = input.asOf;
-        replaceAll(now, m_listed, effects);
+        replaceAll(m_listed, missingGrace(now), effects);
     }
     m_listed.clear();
     m_isComplete = true;
-    startWait(now, effects);
+    m_phase = phase::idle;
+    m_callAt = now;
+    if (m_reads) {
+        startWait(now, effects);
+    }
 }
 
 void object_follower::on(time_point now, const follower_event::changes_read &input, std::vector<effect> &effects)
@@ -98,19 +101,20 @@
         if (object.isDeleted) {
             const auto known = m_objects.find(object.name);
             if (known != m_objects.end() && known->second.revision <= object.revision) {
-                remove(now, object.name, effects);
+                remove(object.name, object.revision, missingGrace(now), effects);
+            } else if (known == m_objects.end()) {
+                logRemoval(object.name, object.revision); // others may have seen it come
             }
         } else {
             change(object, effects);
         }
     }
     m_asOf = std::max(m_asOf, input.asOf);
-    if (input.objects.empty() || m_options.pause.count() == 0) {
+    m_phase = phase::idle;
+    m_callAt = now + (input.objects.empty() ? duration(0) : m_options.pause);
+    if (m_reads && m_callAt == now) {
         startWait(now, effects);
-        return;
     }
-    m_phase = phase::idle;
-    m_callAt = now + m_options.pause;
 }
 
 void object_follower::on(time_point now, const follower_event::history_lost &, std::vector<effect> &effects)
@@ -129,6 +133,11 @@
     if (m_phase == phase::idle) {
         return;
     }
+    if (!m_reads && m_isComplete) {
+        m_mustList = m_mustList || m_phase == phase::listing;
+        m_phase = phase::idle;
+        return;
+    }
     // A wait may just have been cut; only a second failure in a row is worth a pause.
     if (m_failures == 0) {
         m_failingSince = now;
@@ -148,27 +157,74 @@
 
 void object_follower::on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects)
 {
-    if (input.asOf <= m_asOf) {
+    const object_snapshot &snapshot = input.snapshot;
+    if (snapshot.asOf <= m_asOf || snapshot.since > m_asOf) {
         return;
     }
     log_line line;
-    line.with("kind", m_options.kind).with("from", input.from).with("as_of", input.asOf).with("previous", m_asOf);
+    line.with("kind", m_options.kind)
+        .with("from", input.from)
+        .with("as_of", snapshot.asOf)
+        .with("previous", m_asOf)
+        .with("since", snapshot.since)
+        .with("objects", snapshot.objects.size())
+        .with("removed", snapshot.removed.size());
     effects.emplace_back(log_record {log_event::newsTaken, line.take()});
-    m_asOf = input.asOf;
-    replaceAll(now, input.objects, effects);
+    const duration grace = std::max(snapshot.missingGrace, missingGrace(now));
+    if (snapshot.since == 0) {
+        m_asOf = snapshot.asOf;
+        replaceAll(snapshot.objects, grace, effects);
+    } else {
+        for (const std::string &name : snapshot.removed) {
+            remove(name, snapshot.asOf, grace, effects);
+        }
+        for (const stored_object &object : snapshot.objects) {
+            change(object, effects);
+        }
+        m_asOf = snapshot.asOf;
+    }
     m_isComplete = true;
     m_mustList = false;
 }
 
-void object_follower::on(time_point, const follower_event::routers_changed &input, std::vector<effect> &)
+object_snapshot object_follower::snapshotSince(store_revision since, time_point now) const
 {
-    // By kind, so that one router does not carry all short waits.
-    m_isProbing = isAmongFirst(hashText(input.self), hashesOf(input.live), hashText(m_options.kind), limits::probingRouters);
+    object_snapshot snapshot;
+    snapshot.asOf = m_asOf;
+    snapshot.missingGrace = missingGrace(now);
+    snapshot.since = since >= m_removalsSince ? since : 0;
+    for (const auto &[name, object] : m_objects) {
+        if (object.revision > snapshot.since) {
+            snapshot.objects.push_back(object);
+        }
+    }
+    if (snapshot.since > 0) {
+        for (const removal &each : m_removals) {
+            if (each.revision > snapshot.since && !m_objects.contains(each.name)) {
+                snapshot.removed.push_back(each.name);
+            }
+        }
+    }
+    return snapshot;
+}
+
+void object_follower::on(time_point now, const follower_event::role_changed &input, std::vector<effect> &)
+{
+    m_isProbing = input.probes;
+    if (m_reads == input.reads) {
+        return;
+    }
+    m_reads = input.reads;
+    if (!m_reads) {
+        m_failures = 0; // what the API says to this router no longer matters
+    }
+    m_callAt = now;
 }
 
 void object_follower::on(time_point now, const follower_event::tick &, std::vector<effect> &effects)
 {
-    if (m_phase != phase::idle || now < m_callAt) {
+    // Before the first list every router reads: the ones that could tell it may have started with it.
+    if (m_phase != phase::idle || now < m_callAt || (!m_reads && m_isComplete)) {
         return;
     }
     if (m_mustList) {
@@ -178,7 +234,7 @@
     }
 }
 
-void object_follower::replaceAll(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects)
+void object_follower::replaceAll(const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects)
 {
     std::unordered_set<std::string> listed;
     for (const stored_object &object : objects) {
@@ -191,11 +247,14 @@
         }
     }
     for (const std::string &name : missing) {
-        remove(now, name, effects);
+        remove(name, m_asOf, grace, effects);
     }
     for (const stored_object &object : objects) {
         change(object, effects);
     }
+    // What came and went since the state before this one was never seen here.
+    m_removals.clear();
+    m_removalsSince = m_asOf;
 }
 
 void object_follower::change(const stored_object &object, std::vector<effect> &effects)
@@ -210,17 +269,28 @@
     effects.emplace_back(follower_effect::object_changed {object});
 }
 
-void object_follower::remove(time_point now, const std::string &name, std::vector<effect> &effects)
+void object_follower::remove(const std::string &name, store_revision revision, duration grace, std::vector<effect> &effects)
 {
     if (const auto known = m_objects.find(name); known != m_objects.end()) {
         m_contentHash ^= hashOf(known->second);
         m_objects.erase(known);
     }
-    duration grace {0};
-    if (m_failures > 0 || m_hadOutage) {
-        grace = std::max(grace, m_options.missingGrace - (now - m_lastFailedAt));
-    }
+    logRemoval(name, revision);
     effects.emplace_back(follower_effect::object_removed {name, grace});
 }
 
+void object_follower::logRemoval(const std::string &name, store_revision revision)
+{
+    m_removals.push_back({name, revision});
+    if (m_removals.size() > limits::removalsKept) {
+        m_removalsSince = std::max(m_removalsSince, m_removals.front().revision);
+        m_removals.pop_front();
+    }
+}
+
+duration object_follower::missingGrace(time_point now) const
+{
+    return m_failures > 0 || m_hadOutage ? std::max(duration(0), m_options.missingGrace - (now - m_lastFailedAt)) : duration(0);
+}
+
 } // namespace nutmegtally
--- a/src/prefix_map.cpp
+++ b/src/prefix_map.cpp
@@ -29,8 +29,9 @@
     return now - entry.usedAt < limits::prefixLifetime;
 }
 
-void prefix_map::note(const std::vector<std::uint64_t> &parts, std::uint32_t upstream, time_point now)
+bool prefix_map::note(const std::vector<std::uint64_t> &parts, std::uint32_t upstream, time_point now)
 {
+    bool isNews = false;
     if (m_holders.size() + parts.size() > limits::prefixEntries) {
         evict(now);
     }
@@ -39,17 +40,23 @@
         const auto known = std::find_if(holders.begin(), holders.end(), [upstream](const holder &h) { return h.upstream == upstream; });
         if (known != holders.end()) {
             known->usedAt = now;
+            if (now - known->toldAt >= limits::prefixToldFor) {
+                known->toldAt = now;
+                isNews = true;
+            }
             continue;
         }
+        isNews = true;
         std::erase_if(holders, [now](const holder &h) { return !isFresh(h, now); });
         if (holders.size() >= limits::holdersPerPart) {
             // A part that so many engines keep is the beginning of all prompts; which ones keep it no longer matters.
             *std::min_element(holders.begin(), holders.end(), [](const holder &a, const holder &b) { return a.usedAt < b.usedAt; })
-                = {upstream, now};
+                = {upstream, now, now};
             continue;
         }
-        holders.push_back({upstream, now});
+        holders.push_back({upstream, now, now});
     }
+    return isNews;
 }
 
 std::vector<prompt_holding> prefix_map::holdings(const prompt_parts &parts, time_point now) const
--- a/src/router_news.cpp
+++ b/src/router_news.cpp
@@ -1,9 +1,11 @@
 #include "limits.h"
 
+#include <nutmegtally/ids.h>
 #include <nutmegtally/log_line.h>
 #include <nutmegtally/router_news.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace nutmegtally
 {
@@ -38,35 +40,62 @@
     std::vector<router_notice> notices;
     for (const auto &[name, other] : m_routers) {
         if (now - other.heardAt < limits::routerCountedFor) {
-            notices.push_back({name, other.address, other.loadAddress, now - other.heardAt});
+            notices.push_back({name, other.address, other.loadAddress, other.domain, now - other.heardAt});
         }
     }
     return notices;
 }
 
-void router_news::note(const std::string &name, const std::string &address, const std::string &loadAddress, time_point heardAt)
+std::uint32_t router_news::keyOf(std::string_view name)
 {
-    if (name == m_options.name || name.empty()) {
+    return static_cast<std::uint32_t>(hashText(name) >> 32);
+}
+
+std::vector<std::uint32_t> router_news::heardOfLately(std::string_view domain, time_point now) const
+{
+    std::vector<std::uint32_t> keys {keyOf(m_options.name)};
+    for (const auto &[name, other] : m_routers) {
+        if (now - other.heardAt < limits::heardLately && (domain.empty() || other.domain == domain)) {
+            keys.push_back(keyOf(name));
+        }
+    }
+    return keys;
+}
+
+void router_news::on(time_point now, const news_event::heard_of &input, std::vector<effect> &)
+{
+    const std::unordered_set<std::uint32_t> keys(input.routers.begin(), input.routers.end());
+    for (auto &[name, other] : m_routers) {
+        if (keys.contains(keyOf(name))) {
+            other.heardAt = std::max(other.heardAt, now);
+        }
+    }
+}
+
+void router_news::note(const router_notice &notice, time_point heardAt)
+{
+    if (notice.name == m_options.name || notice.name.empty()) {
         return;
     }
-    router &known = m_routers[name];
+    router &known = m_routers[notice.name];
     if (known.address.empty() || heardAt > known.heardAt) {
-        known.address = address;
-        known.loadAddress = loadAddress;
+        known.address = notice.address;
+        known.loadAddress = notice.loadAddress;
+        known.domain = notice.domain;
         known.heardAt = heardAt;
-        m_targets[address];
+        m_targets[notice.address];
     }
 }
 
 void router_news::on(time_point now, const news_event::heard &input, std::vector<effect> &effects)
 {
-    note(input.name, input.address, input.loadAddress, now);
+    note({input.name, input.address, input.loadAddress, input.domain, duration(0)}, now);
     target &teller = m_targets[input.address];
     teller.failures = 0;
     teller.notBefore = now;
     for (const router_notice &notice : input.known) {
         if (notice.age < limits::routerCountedFor) {
-            note(notice.name, notice.address, notice.loadAddress, now - notice.age);
+            note(notice, now - notice.age);
         }
     }
     tellLive(now, effects);
@@ -86,7 +115,7 @@
         return;
     }
     known.newerSince = known.newerSince.value_or(now);
-    if (now - *known.newerSince >= limits::behindBeforeAsking) {
+    if (input.isReader || now - *known.newerSince >= limits::behindBeforeAsking) {
         known.newerSince = now;
         ask(now, known.address, effects);
     }
@@ -130,18 +159,36 @@
     if (now < m_nextAsk) {
         return;
     }
-    m_nextAsk = now + (input.hasContact && !m_routers.empty() ? limits::askInterval : limits::askIntervalAlone);
-    // The one that was asked longest ago; addresses of routers that are gone drop out with their pauses.
-    auto next = m_targets.end();
-    for (auto it = m_targets.begin(); it != m_targets.end(); ++it) {
-        if (it->first != m_options.address && now >= it->second.notBefore
-            && (next == m_targets.end() || it->second.askedAt < next->second.askedAt)) {
-            next = it;
-        }
+    m_startedAt = m_startedAt.value_or(now);
+    const bool isSettled = now - *m_startedAt >= limits::askSettling && !m_leads.empty();
+    const duration calm = isSettled ? limits::askIntervalSettled : limits::askInterval;
+    m_nextAsk = now + (input.hasContact && !m_routers.empty() ? calm : limits::askIntervalAlone);
+    if (const std::string *next = nextTarget(now)) {
+        ++m_asked;
+        ask(now, *next, effects);
     }
-    if (next != m_targets.end()) {
-        ask(now, next->first, effects);
+}
+
+const std::string *router_news::nextTarget(time_point now) const
+{
+    // The one that was asked longest ago; addresses of routers that are gone drop out with their pauses. Every few questions go to
+    // any router, so that parts of the fleet that know nothing of each other find together.
+    const bool isAny = m_leads.empty() || m_asked % limits::asksOfLeads == 0;
+    const std::string *next = nullptr;
+    time_point askedAt;
+    for (const auto &[address, known] : m_targets) {
+        const bool isWanted = isAny || std::find(m_leads.begin(), m_leads.end(), address) != m_leads.end();
+        if (isWanted && address != m_options.address && now >= known.notBefore && (next == nullptr || known.askedAt < askedAt)) {
+            next = &address;
+            askedAt = known.askedAt;
+        }
     }
+    return next;
+}
+
+void router_news::on(time_point, const news_event::leads_changed &input, std::vector<effect> &)
+{
+    m_leads = input.addresses;
 }
 
 void router_news::tellLive(time_point now, std::vector<effect> &effects)
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
+#include <optional>
 
 namespace nutmegtally
 {
@@ -29,6 +31,27 @@
     return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
+/// The part of a hash that notices carry.
+std::uint32_t keyOf(std::uint64_t hash)
+{
+    return static_cast<std::uint32_t>(hash >> 32);
+}
+
+void append(std::vector<prompt_notice> &list, const prompt_notice &prompt)
+{
+    if (list.size() < limits::untoldPrompts) {
+        list.push_back(prompt);
+    }
+}
+
+std::vector<prompt_notice> takeFirst(std::vector<prompt_notice> &list)
+{
+    const auto end = list.begin() + static_cast<std::ptrdiff_t>(std::min(list.size(), limits::promptsPerNotice));
+    std::vector<prompt_notice> taken(std::make_move_iterator(list.begin()), std::make_move_iterator(end));
+    list.erase(list.begin(), end);
+    return taken;
+}
+
 /// Rank of an upstream for a subject; the highest of all is the subject's home.
 std::uint64_t rankOf(std::uint64_t subject, const upstream_state &upstream)
 {
@@ -69,7 +92,7 @@
         m_instanceOf.erase(known->second.number);
     }
     m_instanceOf[state.number] = record.instance;
-    m_numberOf[state.hash] = state.number;
+    m_numberOf[keyOf(state.hash)] = state.number;
     m_servicesChanged = true;
     m_upstreams[record.instance] = std::move(state);
     return true;
@@ -89,7 +112,7 @@
         return;
     }
     m_instanceOf.erase(known->second.number);
-    m_numberOf.erase(known->second.hash);
+    m_numberOf.erase(keyOf(known->second.hash));
     m_learnt.erase(known->second.number);
     m_servicesChanged = true;
     m_upstreams.erase(known);
@@ -148,54 +171,92 @@
     return tokens;
 }
 
-void upstream_set::hear(const load_notice &notice, time_point now)
+void upstream_set::takeShares(const load_notice &notice, time_point now)
 {
-    const auto [teller, isNew] = m_tellers.try_emplace(notice.router, static_cast<std::uint32_t>(m_tellers.size()));
-    const std::uint32_t router = teller->second;
-    told_notice &told = m_toldBy[router];
+    const auto [known, isNew] = m_tellers.try_emplace(notice.teller, static_cast<std::uint32_t>(m_tellers.size()));
+    const std::uint32_t teller = known->second;
+    told_notice &told = m_toldBy[teller];
     if (told.at != time_point() && now - told.at < limits::noticeLifetime) {
         m_noticeInterval += scaled(now - told.at - m_noticeInterval, limits::noticeIntervalWeight);
     }
     told.at = now;
+    told.scope = notice.scope;
     for (const upstream_number number : told.upstreams) {
         if (upstream_state *state = mutableState(number)) {
-            std::erase_if(state->told, [router](const told_share &share) { return share.router == router; });
+            std::erase_if(state->told, [teller](const told_share &share) { return share.teller == teller; });
         }
     }
     told.upstreams.clear();
     for (const upstream_share &share : notice.shares) {
-        if (const auto number = m_numberOf.find(share.upstream); number != m_numberOf.end()) {
-            mutableState(number->second)->told.push_back({router, share.inFlight, share.pendingTokens, now});
-            told.upstreams.push_back(number->second);
+        if (const upstream_number *number = numberOf(share.upstream)) {
+            mutableState(*number)->told.push_back({teller, notice.scope, share.inFlight, share.pendingTokens, now});
+            told.upstreams.push_back(*number);
         }
     }
-    notePrompts(notice.prompts, now);
 }
 
-void upstream_set::notePrompts(const std::vector<prompt_notice> &prompts, time_point now)
+void upstream_set::hear(const load_notice &notice, bool isCounted, time_point now)
+{
+    if (isCounted) {
+        takeShares(notice, now);
+    }
+    for (const leaving_notice &leaving : notice.leaving) {
+        const upstream_number *number = numberOf(leaving.upstream);
+        if (number != nullptr && mutableState(*number)->record.incarnation == leaving.incarnation) {
+            noteLeaving(*number, now);
+        }
+    }
+    std::vector<prompt_notice> *untold = nullptr;
+    if (m_isLead && notice.scope != notice_scope::fleet) {
+        untold = notice.scope == notice_scope::router ? &m_untold : &m_untoldHere;
+    }
+    notePrompts(notice.prompts, untold, now);
+}
+
+const upstream_number *upstream_set::numberOf(std::uint64_t hash) const
+{
+    const auto number = m_numberOf.find(keyOf(hash));
+    return number == m_numberOf.end() ? nullptr : &number->second;
+}
+
+void upstream_set::notePrompts(const std::vector<prompt_notice> &prompts, std::vector<prompt_notice> *untold, time_point now)
 {
     for (const prompt_notice &prompt : prompts) {
-        if (const auto number = m_numberOf.find(prompt.upstream); number != m_numberOf.end()) {
-            m_prefixes.note(prompt.parts, number->second, now);
+        const upstream_number *number = numberOf(prompt.upstream);
+        if (number != nullptr && m_prefixes.note(prompt.parts, *number, now) && untold != nullptr) {
+            append(*untold, prompt);
         }
     }
 }
 
 void upstream_set::learnPrompts(const std::vector<prompt_notice> &prompts, time_point now)
 {
-    notePrompts(prompts, now);
+    notePrompts(prompts, nullptr, now);
     for (const prompt_notice &prompt : prompts) {
-        if (const auto number = m_numberOf.find(prompt.upstream); number != m_numberOf.end()) {
-            m_learnt.insert(number->second);
+        if (const upstream_number *number = numberOf(prompt.upstream)) {
+            m_learnt.insert(*number);
         }
     }
 }
 
 void upstream_set::learnHeld(const std::string &instance, std::vector<std::uint64_t> parts, time_point now)
 {
-    const std::vector<prompt_notice> held {{hashText(instance), std::move(parts)}};
-    learnPrompts(held, now);
-    m_untold.insert(m_untold.end(), held.begin(), held.end());
+    const prompt_notice held {hashText(instance), std::move(parts)};
+    learnPrompts({held}, now);
+    append(m_untold, held);
+}
+
+void upstream_set::setLead(bool isLead)
+{
+    if (m_isLead == isLead) {
+        return;
+    }
+    m_isLead = isLead;
+    m_toldBy.clear();
+    for (auto &[instance, state] : m_upstreams) {
+        state.told.clear();
+    }
+    m_untoldHere.clear();
 }
 
 std::vector<prompt_notice> upstream_set::knownPrompts(time_point now) const
@@ -232,22 +293,106 @@
     return engines;
 }
 
-load_notice upstream_set::takeNotice()
+load_notice upstream_set::ownNotice(time_point now) const
 {
     load_notice notice;
-    notice.router = m_self;
+    notice.teller = m_self;
     for (const auto &[instance, state] : m_upstreams) {
         if (state.inFlight > 0) {
             notice.shares.push_back({state.hash, state.inFlight, static_cast<std::uint32_t>(state.pendingTokens)});
         }
     }
-    notice.prompts.swap(m_untold);
+    addLeaving(notice, now);
     return notice;
 }
 
+void upstream_set::addLeaving(load_notice &notice, time_point now) const
+{
+    for (const auto &[instance, state] : m_upstreams) {
+        if (state.saidLeaving && now - state.saidLeavingAt < limits::leavingToldFor) {
+            notice.leaving.push_back({state.hash, state.record.incarnation});
+        }
+    }
+}
+
+load_notice upstream_set::sumOf(notice_scope scope, time_point now) const
+{
+    load_notice notice;
+    notice.teller = scope == notice_scope::fleet ? std::string() : m_ownDomain;
+    notice.scope = scope;
+    for (const auto &[instance, state] : m_upstreams) {
+        upstream_share sum {state.hash, state.inFlight, static_cast<std::uint32_t>(state.pendingTokens)};
+        for (const told_share &share : state.told) {
+            const bool counts = share.scope == notice_scope::router || scope == notice_scope::fleet;
+            if (counts && now - share.toldAt < limits::noticeLifetime) {
+                sum.inFlight += share.inFlight;
+                sum.pendingTokens += share.pendingTokens;
+            }
+        }
+        if (sum.inFlight > 0) {
+            notice.shares.push_back(sum);
+        }
+    }
+    addLeaving(notice, now);
+    return notice;
+}
+
+load_notice upstream_set::domainNotice(time_point now) const
+{
+    return sumOf(notice_scope::domain, now);
+}
+
+load_notice upstream_set::fleetNotice(time_point now) const
+{
+    return sumOf(notice_scope::fleet, now);
+}
+
+load_notice upstream_set::withoutOwn(load_notice fleet, const std::string &router) const
+{
+    const auto known = m_tellers.find(router);
+    const auto told = known == m_tellers.end() ? m_toldBy.end() : m_toldBy.find(known->second);
+    if (told == m_toldBy.end()) {
+        return fleet;
+    }
+    std::unordered_map<std::uint64_t, const told_share *> own; // by hash of the upstream
+    for (const upstream_number number : told->second.upstreams) {
+        if (const upstream_state *state = find(number)) {
+            const auto share = std::find_if(state->told.begin(), state->told.end(),
+                                            [teller = known->second](const told_share &each) { return each.teller == teller; });
+            if (share != state->told.end()) {
+                own[state->hash] = &*share;
+            }
+        }
+    }
+    for (upstream_share &share : fleet.shares) {
+        if (const auto each = own.find(share.upstream); each != own.end()) {
+            share.inFlight -= std::min(share.inFlight, each->second->inFlight);
+            share.pendingTokens -= std::min(share.pendingTokens, each->second->pendingTokens);
+        }
+    }
+    std::erase_if(fleet.shares, [](const upstream_share &share) { return share.inFlight == 0; });
+    return fleet;
+}
+
+std::size_t upstream_set::tellers(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_toldBy.begin(), m_toldBy.end(), [now](const auto &entry) {
+        return now - entry.second.at < limits::noticeLifetime && entry.second.scope != notice_scope::fleet;
+    }));
+}
+
+upstream_set::untold_prompts upstream_set::takePrompts()
+{
+    untold_prompts prompts;
+    prompts.ofDomain = takeFirst(m_untold);
+    prompts.ofOthers = takeFirst(m_untoldHere);
+    return prompts;
+}
+
 bool upstream_set::isOpen(const upstream_state &upstream) const
 {
-    return !upstream.record.isLeaving && (m_closedDomains.empty() || !m_closedDomains.contains(upstream.record.domain));
+    return !upstream.record.isLeaving && !upstream.saidLeaving
+           && (m_closedDomains.empty() || !m_closedDomains.contains(upstream.record.domain));
 }
 
 bool upstream_set::mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const
@@ -288,8 +433,10 @@
     double score = static_cast<double>(read + pendingTokens(upstream, now)) / limits::assumedPrefillTokensPerMs;
     score += static_cast<double>(std::min(fetched, shared)) * limits::fetchCostMsPerToken;
     const bool isHome = std::find(prompt.ranked.begin(), prompt.ranked.end(), &upstream) != prompt.ranked.end();
-    if (cached == 0 && prompt.heldTokens == 0 && !isHome) {
-        score += limits::awayFromHomeMs; // routers that do not know of each other's choice agree on the homes
+    // Routers that do not know of each other's choice agree on the homes. The beginning that all prompts share is no reason to leave
+    // them: the few engines that keep it first would get every new subject.
+    if (prompt.heldTokens < shared && !isHome) {
+        score += limits::awayFromHomeMs;
     }
     score += option.load * limits::engineStepMsPerRequest;
     if (rule.cacheTokens > 0 && upstream.inFlight > 0) {
@@ -400,6 +547,7 @@
                                    : std::numeric_limits<double>::infinity();
 
     bool sawCold = false;
+    std::optional<time_point> pausedUntil;
     double bestTie = 0;
     // Routers with the same news would all choose the engine that looks best; what they have not told yet spreads them.
     const double spreadMs = isEngine ? limits::unseenSpread * unseenReadingMs(open.size(), now) : 0;
@@ -411,6 +559,10 @@
         if (isAvoided || each.load + 1 > most || state.inFlight + 1 > connections) {
             continue;
         }
+        if (now < state.pausedUntil || (state.isProbed && state.inFlight > 0)) {
+            pausedUntil = std::min(pausedUntil.value_or(state.pausedUntil), state.pausedUntil);
+            continue;
+        }
         if (!mayStartCold(state, *rule, now)) {
             sawCold = true;
             continue;
@@ -434,7 +586,8 @@
         }
     }
     if (best.upstream == noUpstreamNumber) {
-        best.outcome = sawCold ? placement_outcome::allCold : placement_outcome::allFull;
+        best.outcome = sawCold ? placement_outcome::allCold : pausedUntil ? placement_outcome::allPaused : placement_outcome::allFull;
+        best.pausedUntil = pausedUntil.value_or(now);
         return best;
     }
     best.outcome = placement_outcome::chosen;
@@ -449,10 +602,11 @@
 double upstream_set::unseenReadingMs(std::size_t engines, time_point now) const
 {
     // The other routers place about as much as this one, and tell it a notice later.
-    const double perMs = m_startedTokens * halved(now - m_startedAt, limits::readingHalfLife) * std::log(2.0)
-                         / milliseconds(limits::readingHalfLife);
+    const double perMs
+        = m_startedTokens * halved(now - m_startedAt, limits::readingHalfLife) * std::log(2.0) / milliseconds(limits::readingHalfLife);
     const double others = static_cast<double>(routers() - 1);
-    return perMs * others * milliseconds(m_noticeInterval) / static_cast<double>(engines) / limits::assumedPrefillTokensPerMs;
+    return perMs * others * limits::noticeHops * milliseconds(m_noticeInterval) / static_cast<double>(engines)
+           / limits::assumedPrefillTokensPerMs;
 }
 
 void upstream_set::start(upstream_number number, const prompt_parts &parts, std::uint64_t unreadTokens, std::uint64_t heldTokens,
@@ -479,9 +633,8 @@
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         sent.parts.push_back(parts[i].id);
     }
-    m_prefixes.note(sent.parts, number, now);
-    if (m_untold.size() < limits::untoldPrompts) {
-        m_untold.push_back(std::move(sent));
+    if (m_prefixes.note(sent.parts, number, now)) {
+        append(m_untold, sent);
     }
 }
 
@@ -519,12 +672,32 @@
     }
 }
 
+bool upstream_set::noteLeaving(upstream_number number, time_point now)
+{
+    upstream_state *state = mutableState(number);
+    if (state == nullptr || state->saidLeaving) {
+        return false;
+    }
+    state->saidLeaving = true;
+    state->saidLeavingAt = now;
+    return true;
+}
+
+void upstream_set::pause(upstream_number number, duration span, time_point now)
+{
+    if (upstream_state *state = mutableState(number)) {
+        state->pausedUntil = std::max(state->pausedUntil, now + span);
+        state->isProbed = true;
+    }
+}
+
 void upstream_set::judge(upstream_number number, upstream_verdict verdict, time_point now)
 {
     upstream_state *state = mutableState(number);
     if (state == nullptr || verdict == upstream_verdict::unknown) {
         return;
     }
+    state->isProbed = state->isProbed && verdict != upstream_verdict::good;
     const bool failed = verdict != upstream_verdict::good && verdict != upstream_verdict::refused;
     state->failureRate += limits::failureWeight * ((failed ? 1.0 : 0.0) - state->failureRate);
     switch (verdict) {
--- a/tests/test_daemon_serving.cpp
+++ b/tests/test_daemon_serving.cpp
@@ -417,6 +417,32 @@
     BOOST_TEST(server.requests.empty());
 }
 
+BOOST_AUTO_TEST_CASE(upstreamThatLeaves_accordingToItsAnswer_getsNoFurtherRequest)
+{
+    scripted_upstream &leaver
+        = upstream([](const std::string &) { return reaction {signedHead + "Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"}; });
+    BOOST_TEST(has(ask("read", "ok"), "200 OK"));
+    scripted_upstream &other = upstream([](const std::string &) { return good; });
+    for (int i = 0; i < 4; ++i) {
+        BOOST_TEST(has(ask("read", "ok"), "200 OK"));
+    }
+    BOOST_TEST(leaver.requests.size() == 1U);
+    BOOST_TEST(other.requests.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(upstreamThatAsksForAPause_isLeftAloneUntilItIsOver)
+{
+    scripted_upstream &server = upstream([](const std::string &) {
+        return reaction {"HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (int i = 0; i < 5; ++i) {
+        const std::string answer = ask("booking", "\r\n\r\n");
+        BOOST_TEST(has(answer, "503"));
+        BOOST_TEST((i == 0 || has(answer, "Retry-After: 1.9")));
+    }
+    BOOST_TEST(server.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(foreignAnswer_beforeTheRightOne_isSkipped)
 {
     scripted_upstream &server = upstream([](const std::string &) {
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -384,4 +384,67 @@
     BOOST_TEST(core.knowsCaches());
 }
 
+BOOST_AUTO_TEST_CASE(leavingToldByAnAnswer_upstream_getsNothingMoreWhateverTheListSays)
+{
+    start(0, 2);
+    const exchange_id id = request("read");
+    const std::string leaver = sentTo();
+    answer_summary said {200, false, true, std::nullopt};
+    said.isLeaving = true;
+    apply(entry_event::answer_received {id, said});
+    list(leaver, "desk", 6); // its entry changed, and names no leaving yet
+    for (int i = 0; i < 5; ++i) {
+        request("read");
+        BOOST_TEST(sentTo() != leaver);
+    }
+    upstream_record restarted = record(leaver, "desk", 6);
+    restarted.incarnation = 1;
+    apply(entry_event::upstream_listed {restarted});
+    request("read");
+    BOOST_TEST(sentTo() == leaver); // idle, while the other one is busy
+}
+
+BOOST_AUTO_TEST_CASE(leavingToldByAnotherRouter_upstream_getsNothingMore)
+{
+    start(0, 2);
+    load_notice notice {"other", {}, {}, {{hashText("desk-0"), 0}, {hashText("desk-1"), 7}}}; // desk-1 of an earlier start
+    apply(entry_event::load_told {notice});
+    for (int i = 0; i < 5; ++i) {
+        request("read");
+        BOOST_TEST(sentTo() == "desk-1");
+    }
+    BOOST_TEST(core.upstreams().ownNotice(now).leaving.size() == 1U);
+    BOOST_TEST(core.upstreams().ownNotice(now + 60s).leaving.empty());
+}
+
+BOOST_AUTO_TEST_CASE(pauseAsked_onlyUpstream_isLeftAloneAndTheCallerToldWhen)
+{
+    start(0, 1);
+    const exchange_id id = request("read");
+    answer_summary busy {503, true, false, std::nullopt};
+    busy.pauseFor = 2s;
+    apply(entry_event::answer_received {id, busy});
+    now += 100ms;
+    request("read");
+    BOOST_TEST(sentTo() == "nobody");
+    BOOST_TEST(refusedFor() == "no_room"); // at once: the pause outlasts what a request may wait
+    BOOST_TEST((effect<entry_effect::refuse>()->retryAfter.value() == 1900ms));
+}
+
+BOOST_AUTO_TEST_CASE(pauseOver_upstream_isTriedWithOneRequestFirst)
+{
+    start(0, 1);
+    answer_summary busy {503, true, false, std::nullopt};
+    busy.pauseFor = 2s;
+    apply(entry_event::answer_received {request("read"), busy});
+    now += 2s;
+    const exchange_id first = request("read");
+    BOOST_TEST(sentTo() == "desk-0");
+    request("read");
+    BOOST_TEST(sentTo() == "nobody");
+    answer(first, 200);
+    tickAt(2010ms);
+    BOOST_TEST(sentTo() == "desk-0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -77,12 +77,13 @@
             nextNotice = now + noticeInterval;
             std::vector<load_notice> notices;
             for (upstream_set &router : routers) {
-                notices.push_back(router.takeNotice());
+                notices.push_back(router.ownNotice(now));
+                notices.back().prompts = router.takePrompts().ofDomain;
             }
             for (std::size_t i = 0; i < routers.size(); ++i) {
                 for (std::size_t j = 0; j < notices.size(); ++j) {
                     if (i != j) {
-                        routers[i].hear(notices[j], now);
+                        routers[i].hear(notices[j], true, now);
                     }
                 }
             }
@@ -152,6 +153,101 @@
     std::uint64_t tokensFetched = 0;
 };
 
+/// Routers of several failure domains whose leads sum up the load, on more engines than one router can overlook at once.
+struct lead_model : fleet_model {
+    static constexpr unsigned domains = 5;
+    static constexpr unsigned manyEngines = 180;
+
+    /// @param directEvery Zero: news by leads. Otherwise each router tells all others itself, at this interval.
+    lead_model(unsigned routerCount, duration directEvery)
+        : fleet_model(routerCount, false)
+        , directInterval(directEvery)
+    {
+        for (unsigned i = engines; i < manyEngines; ++i) {
+            addEngine("engine-" + std::to_string(i));
+        }
+        for (unsigned i = 0; i < routerCount; ++i) {
+            routers[i].setLead(directEvery == 0ms && i < domains);
+        }
+    }
+
+    void advance(duration step)
+    {
+        fleet_model::advance(step);
+        if (directInterval > 0ms) {
+            tellDirectly(step);
+        } else if (now >= nextNotice) {
+            nextNotice = now + noticeInterval;
+            tellThroughLeads();
+        }
+    }
+
+    /// Router number i is of domain i % domains; the first of each is its lead. One round is all notices of one interval, as they
+    /// were before any of them arrived.
+    void tellThroughLeads()
+    {
+        std::vector<load_notice> own;
+        std::vector<load_notice> ofDomains;
+        std::vector<load_notice> ofFleet;
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            const upstream_set::untold_prompts prompts = routers[i].takePrompts();
+            own.push_back(routers[i].ownNotice(now));
+            own.back().prompts = prompts.ofDomain;
+            if (i < domains) {
+                ofDomains.push_back(routers[i].domainNotice(now));
+                ofDomains.back().teller = "domain-" + std::to_string(i);
+                ofDomains.back().prompts = prompts.ofDomain;
+                ofFleet.push_back(routers[i].fleetNotice(now));
+                ofFleet.back().prompts = prompts.ofDomain;
+                ofFleet.back().prompts.insert(ofFleet.back().prompts.end(), prompts.ofOthers.begin(), prompts.ofOthers.end());
+            }
+        }
+        for (std::size_t i = domains; i < routers.size(); ++i) {
+            routers[i].hear(routers[i % domains].withoutOwn(ofFleet[i % domains], own[i].teller), true, now);
+            routers[i % domains].hear(own[i], true, now);
+        }
+        for (unsigned to = 0; to < domains; ++to) {
+            for (unsigned from = 0; from < domains; ++from) {
+                if (from != to) {
+                    routers[to].hear(ofDomains[from], true, now);
+                }
+            }
+        }
+    }
+
+    void tellDirectly(duration step)
+    {
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            // Spread over the interval, as routers that started at different moments are.
+            const auto slot = (now.time_since_epoch() / step + static_cast<std::int64_t>(i)) % (directInterval / step);
+            if (slot != 0) {
+                continue;
+            }
+            load_notice notice = routers[i].ownNotice(now);
+            notice.prompts = routers[i].takePrompts().ofDomain;
+            for (std::size_t j = 0; j < routers.size(); ++j) {
+                if (i != j) {
+                    routers[j].hear(notice, true, now);
+                }
+            }
+        }
+    }
+
+    /// Starts since the last call at engines that held more than the platform allows, as a share of all.
+    double shareOverBound()
+    {
+        std::map<std::string, unsigned> counted = loads();
+        unsigned over = 0;
+        const double bound = 2.0 * static_cast<double>(runs.size()) / manyEngines + 3.0;
+        for (const auto &[engine, load] : counted) {
+            over += load > bound ? 1 : 0;
+        }
+        return static_cast<double>(over) / manyEngines;
+    }
+
+    duration directInterval;
+};
+
 struct traffic {
     unsigned routers = 5;
     double perSecond = 40;
@@ -160,8 +256,8 @@
     duration length = 20s;
 };
 
-template<typename AtStep>
-void play(fleet_model &model, const traffic &pattern, AtStep atStep)
+template<typename Model, typename AtStep>
+void play(Model &model, const traffic &pattern, AtStep atStep)
 {
     std::mt19937_64 random(20261204);
     const duration step = 10ms;
@@ -199,6 +295,43 @@
     BOOST_TEST(worst[1] <= 2.0); // the platform's bound is twice the mean and three requests
 }
 
+// Pattern: a hundred routers start at once before cold engines, with many subjects, a few of them wanted by many. Before: news a second
+// old, the same for all; here the interval of direct notices is what a hundred routers could afford.
+BOOST_AUTO_TEST_CASE(hundredRouters_startedTogether_keepEveryEngineBelowTwiceTheMeanAndThree)
+{
+    traffic pattern;
+    pattern.routers = 100;
+    pattern.perSecond = 900;
+    pattern.subjects = 400;
+    pattern.hotShare = 0.02;
+    pattern.length = 5s;
+    double worst = 0;
+    lead_model model(pattern.routers, 0ms);
+    play(model, pattern, [&](duration) { worst = std::max(worst, model.shareOverBound()); });
+    BOOST_TEST(worst < 0.03); // the platform's bound on the share of requests at such engines
+    BOOST_TEST(model.refused == 0);
+
+    lead_model slow(pattern.routers, 1s);
+    double worstSlow = 0;
+    play(slow, pattern, [&](duration) { worstSlow = std::max(worstSlow, slow.shareOverBound()); });
+    BOOST_TEST_MESSAGE("share of engines over the bound: " << worst << " through leads, " << worstSlow << " with news of a second");
+    BOOST_TEST(worst < worstSlow);
+}
+
+// Pattern: the same load, known subjects. What one router read, the others know of within some notices.
+BOOST_AUTO_TEST_CASE(hundredRouters_knownSubjects_areFoundThroughLeads)
+{
+    traffic pattern;
+    pattern.routers = 100;
+    pattern.perSecond = 300;
+    pattern.subjects = 200;
+    pattern.length = 10s;
+    lead_model model(pattern.routers, 0ms);
+    std::uint64_t readAtFirst = 0;
+    play(model, pattern, [&](duration at) { readAtFirst = at <= 3s ? model.tokensReadAgain : readAtFirst; });
+    BOOST_TEST(model.tokensReadAgain - readAtFirst <= 10U * fleet_model::subjectTokens); // of 2,100 requests
+}
+
 // Pattern: engines are added under load. Before: the hash home moved to the new engine, and its subjects were read again.
 BOOST_AUTO_TEST_CASE(scaleOut_knownSubjects_areNotReadAgain)
 {
--- a/tests/test_object_follower.cpp
+++ b/tests/test_object_follower.cpp
@@ -78,16 +78,16 @@
         return object_follower(options);
     }
 
-    /// Tells of other routers that have the duty of short waits.
+    /// Other routers have the duty of short waits.
     void letOthersProbe()
     {
-        const std::vector<std::string> live {"r1", "r2", "r3", "r4", "r5"};
-        for (const std::string &self : live) {
-            if (!isAmongFirst(hashText(self), hashesOf(live), hashText("kind"), 2)) {
-                at(0ms, follower_event::routers_changed {self, live});
-                return;
-            }
-        }
+        at(0ms, follower_event::role_changed {true, false});
+    }
+
+    /// All objects, as another router has them.
+    static follower_event::snapshot_received all(std::vector<stored_object> objects, store_revision asOf)
+    {
+        return {{0, asOf, std::move(objects), {}, 0ms}, "router"};
     }
 
     duration lastFailure {0};
@@ -204,7 +204,7 @@
 {
     start();
     outage(4900ms);
-    at(4900ms, follower_event::snapshot_received {{object("a", 3)}, 16, "router"});
+    at(4900ms, all({object("a", 3)}, 16));
     BOOST_REQUIRE(effect<follower_effect::object_removed>() != nullptr);
     BOOST_TEST((effect<follower_effect::object_removed>()->grace > 0ms));
     BOOST_TEST((4900ms + effect<follower_effect::object_removed>()->grace < lastFailure + 3s));
@@ -226,7 +226,7 @@
 BOOST_AUTO_TEST_CASE(snapshot_newerThanOwn_replacesAllAndKeepsTheRevision)
 {
     start();
-    at(1s, follower_event::snapshot_received {{object("a", 3), object("c", 15)}, 16, "router"});
+    at(1s, all({object("a", 3), object("c", 15)}, 16));
     BOOST_TEST(follower.asOf() == 16);
     BOOST_TEST(follower.objects().contains("c"));
     BOOST_TEST(!follower.objects().contains("b"));
@@ -239,7 +239,7 @@
 BOOST_AUTO_TEST_CASE(snapshot_olderThanOwn_isIgnored)
 {
     start();
-    at(1s, follower_event::snapshot_received {{object("a", 2)}, 9, "router"});
+    at(1s, all({object("a", 2)}, 9));
     BOOST_TEST(effects.empty());
     BOOST_TEST(follower.objects().size() == 2);
 }
@@ -247,7 +247,7 @@
 BOOST_AUTO_TEST_CASE(list_olderThanASnapshot_changesNothing)
 {
     at(0ms, follower_event::tick {});
-    at(5ms, follower_event::snapshot_received {{object("a", 30)}, 31, "router"});
+    at(5ms, all({object("a", 30)}, 31));
     at(9ms, follower_event::page_read {{object("a", 3)}, false, 10});
     BOOST_TEST(follower.objects().at("a").revision == 30);
     BOOST_TEST(follower.asOf() == 31);
@@ -274,7 +274,7 @@
     at(1s, follower_event::changes_read {{object("a", 12), object("c", 13), deleted("b", 14)}, 14});
     object_follower other {follower_options {}};
     effects.clear();
-    other.apply(time_point(0ms), follower_event::snapshot_received {{object("a", 12), object("c", 13)}, 14, "router"}, effects);
+    other.apply(time_point(0ms), all({object("a", 12), object("c", 13)}, 14), effects);
     BOOST_TEST(follower.contentHash() == other.contentHash());
     at(2s, follower_event::changes_read {{deleted("a", 15), deleted("c", 16)}, 16});
     BOOST_TEST(follower.contentHash() == 0U);
@@ -290,18 +290,88 @@
 
 BOOST_AUTO_TEST_CASE(wait_ofARouterThatProbes_endsSoonerThanALeavingUpstreamMayGetWork)
 {
-    // Two routers probe each kind, so that a wait that was lost at all routers is noticed at some within its time.
-    const std::vector<std::string> live {"r1", "r2", "r3", "r4", "r5"};
-    std::size_t probing = 0;
-    for (const std::string &self : live) {
+    for (const bool probes : {false, true}) {
         follower = freshFollower();
         at(0ms, follower_event::tick {});
-        at(0ms, follower_event::routers_changed {self, live});
+        at(0ms, follower_event::role_changed {true, probes});
         at(5ms, follower_event::page_read {{object("a", 3)}, false, 10});
         BOOST_REQUIRE(effect<follower_effect::wait_for_changes>() != nullptr);
-        probing += effect<follower_effect::wait_for_changes>()->wait <= 1s ? 1 : 0;
+        BOOST_TEST((effect<follower_effect::wait_for_changes>()->wait <= 1s) == probes);
     }
-    BOOST_TEST(probing == 2);
+}
+
+BOOST_AUTO_TEST_CASE(roleWithoutReading_afterTheFirstList_callsNoMore)
+{
+    start();
+    at(10ms, follower_event::role_changed {false, false});
+    at(1s, follower_event::changes_read {{object("a", 12)}, 12});
+    BOOST_TEST(effect<follower_effect::wait_for_changes>() == nullptr);
+    at(60s, follower_event::tick {});
+    BOOST_TEST(effects.empty());
+    at(61s, follower_event::role_changed {true, false});
+    at(61s, follower_event::tick {});
+    BOOST_REQUIRE(effect<follower_effect::wait_for_changes>() != nullptr);
+    BOOST_TEST(effect<follower_effect::wait_for_changes>()->since == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(roleWithoutReading_failedWait_isNoLostContact)
+{
+    start();
+    at(10ms, follower_event::role_changed {false, false});
+    at(20ms, follower_event::call_failed {"cut"});
+    at(30ms, follower_event::call_failed {"cut"});
+    BOOST_TEST(follower.hasContact());
+    BOOST_TEST(effects.empty());
+}
+
+BOOST_AUTO_TEST_CASE(roleWithoutReading_beforeTheFirstList_readsItself)
+{
+    at(0ms, follower_event::role_changed {false, false});
+    at(0ms, follower_event::tick {});
+    BOOST_TEST(effect<follower_effect::read_page>() != nullptr);
+    at(5ms, follower_event::call_failed {"down"});
+    at(2s, follower_event::tick {});
+    BOOST_TEST(effect<follower_effect::read_page>() != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(snapshotSince_changesAndRemovals_bringAnotherRouterToTheSameState)
+{
+    start();
+    object_follower other = follower;
+    const store_revision before = follower.asOf();
+    at(1s, follower_event::changes_read {{object("a", 12), deleted("b", 13), object("d", 14), deleted("never-seen", 15)}, 15});
+    const object_snapshot changed = follower.snapshotSince(before, time_point(1s));
+    BOOST_TEST(changed.since == before);
+    BOOST_TEST(changed.objects.size() == 2U);
+    BOOST_TEST(changed.removed.size() == 2U);
+    effects.clear();
+    other.apply(time_point(1s), follower_event::snapshot_received {changed, "router"}, effects);
+    BOOST_TEST(other.contentHash() == follower.contentHash());
+    BOOST_TEST(other.asOf() == follower.asOf());
+}
+
+BOOST_AUTO_TEST_CASE(snapshotSince_beforeTheOwnFirstList_isTheWholeState)
+{
+    start();
+    BOOST_TEST(follower.snapshotSince(follower.asOf() - 1, time_point(1s)).since == 0U);
+    BOOST_TEST(follower.snapshotSince(0, time_point(1s)).objects.size() == follower.objects().size());
+}
+
+BOOST_AUTO_TEST_CASE(snapshotReceived_changesSinceALaterState_areNotTaken)
+{
+    start();
+    const std::uint64_t hash = follower.contentHash();
+    at(1s, follower_event::snapshot_received {{follower.asOf() + 5, follower.asOf() + 9, {object("z", 99)}, {}, 0ms}, "router"});
+    BOOST_TEST(follower.contentHash() == hash);
+}
+
+BOOST_AUTO_TEST_CASE(snapshotReceived_removalAfterAnOutageOfItsReader_keepsItsGrace)
+{
+    start();
+    at(10ms, follower_event::role_changed {false, false});
+    at(1s, follower_event::snapshot_received {{follower.asOf(), 30, {}, {"a"}, 1500ms}, "router"});
+    BOOST_REQUIRE(effect<follower_effect::object_removed>() != nullptr);
+    BOOST_TEST((effect<follower_effect::object_removed>()->grace == 1500ms));
 }
 
 BOOST_AUTO_TEST_CASE(wait_ofARouterThatKnowsNoOther_isShort)
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -189,6 +189,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(decodeAnswer_leavingAndPause_areRead)
+{
+    http_head answer;
+    answer.status = 503;
+    answer.fields = {{"Server-Leaving", "1"}, {"Retry-After", "2.5"}};
+    BOOST_TEST(codec.decodeAnswer(answer).summary.isLeaving);
+    BOOST_TEST((codec.decodeAnswer(answer).summary.pauseFor == 2500ms));
+    answer.status = 200;
+    BOOST_TEST(!codec.decodeAnswer(answer).summary.pauseFor.has_value());
+    answer.status = 503;
+    for (const char *text : {"", "soon", "-1", "nan", "1s"}) {
+        answer.fields = {{"Server-Leaving", "0"}, {"Retry-After", text}};
+        BOOST_TEST(!codec.decodeAnswer(answer).summary.isLeaving);
+        BOOST_TEST(!codec.decodeAnswer(answer).summary.pauseFor.has_value());
+    }
+    answer.fields = {{"Retry-After", "1e300"}};
+    BOOST_TEST((codec.decodeAnswer(answer).summary.pauseFor == 1h));
+}
+
 BOOST_AUTO_TEST_CASE(encodeRefusal_neverCarriesASignature)
 {
     for (const refusal_info &info : refusalTable) {
@@ -290,20 +309,45 @@
     message.name = "a";
     message.address = "10.0.0.1:1";
     message.loadAddress = "10.0.0.1:2";
-    message.routers = {{"b", "10.0.0.2:1", "10.0.0.2:2", 1500ms}};
+    message.domain = "d";
+    message.routers = {{"b", "10.0.0.2:1", "10.0.0.2:2", "d", 1500ms}};
     message.digests = {{"config", 9, 77}};
-    message.snapshots = {{"config", 9, {{"main", 8, std::string(5000, 'x'), false}}}};
     message.wantsPrompts = true;
     message.prompts = {{5, {6, 7}}};
     const news_message read = decodeNews(unpack(pack(encodeNews(message))));
     BOOST_TEST(read.name == "a");
     BOOST_TEST((read.routers.at(0).age == 1500ms));
     BOOST_TEST(read.digests.at(0).hash == 77U);
-    BOOST_TEST(read.snapshots.at(0).objects.at(0).text.size() == 5000U);
+    BOOST_TEST(read.routers.at(0).domain == "d");
     BOOST_TEST(read.wantsPrompts);
     BOOST_TEST(read.prompts.at(0).parts.at(1) == 7U);
 }
 
+BOOST_AUTO_TEST_CASE(snapshot_roundTrip_keepsAll)
+{
+    const kind_snapshot sent {"config", {7, 9, {{"main", 8, std::string(5000, 'x'), false}}, {"gone"}, 1500ms}};
+    const kind_snapshot read = decodeSnapshot(unpack(pack(encodeSnapshot(sent))));
+    BOOST_TEST(read.kind == "config");
+    BOOST_TEST(read.state.since == 7U);
+    BOOST_TEST(read.state.asOf == 9U);
+    BOOST_TEST((read.state.objects == sent.state.objects));
+    BOOST_TEST((read.state.removed == sent.state.removed));
+    BOOST_TEST((read.state.missingGrace == 1500ms));
+    BOOST_CHECK_THROW(decodeSnapshot("{}"), std::exception);
+}
+
+BOOST_AUTO_TEST_CASE(parts_joinedAndCut_areReadOrRefused)
+{
+    const std::vector<std::string> parts {"", "one", std::string(300, 'x')};
+    const std::string body = joinParts(parts);
+    BOOST_TEST((splitParts(body) == parts));
+    for (std::size_t length = 1; length < body.size(); ++length) {
+        if (length != 4 && length != 11) { // the ends of whole parts
+            BOOST_CHECK_THROW(splitParts(std::string_view(body).substr(0, length)), std::exception);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unpack_foreignBytes_throws)
 {
     for (const std::string &bytes :
@@ -317,13 +361,31 @@
 
 BOOST_AUTO_TEST_CASE(datagram_roundTrip_keepsAll)
 {
-    const router_datagram sent {{"a", {{1, 2, 3}}, {{4, {5, 6}}}}, {{"config", 7, 8}}};
+    router_datagram sent;
+    sent.name = "a";
+    sent.isLead = true;
+    sent.hasContact = false;
+    sent.routersSummed = 20;
+    sent.interval = 150ms;
+    sent.load = {"domain", {{0x0102030400000000, 2, 640}}, {{4, {5, 6}}}, {{9, 10}}, notice_scope::domain};
+    sent.digests = {{"config", 7, 8}};
+    sent.heardOf = {11, 0xffffffff};
     const std::string bytes = encodeDatagram(sent);
     const router_datagram read = decodeDatagram(bytes.data(), bytes.size());
-    BOOST_TEST(read.load.router == "a");
-    BOOST_TEST(read.load.shares.at(0).pendingTokens == 3U);
+    BOOST_TEST(read.name == "a");
+    BOOST_TEST(read.isLead);
+    BOOST_TEST(!read.hasContact);
+    BOOST_TEST(read.routersSummed == 20U);
+    BOOST_TEST((read.interval == 150ms));
+    BOOST_TEST(read.load.teller == "domain");
+    BOOST_TEST((read.load.scope == notice_scope::domain));
+    BOOST_TEST(read.load.shares.at(0).upstream == 0x0102030400000000U);
+    BOOST_TEST(read.load.shares.at(0).inFlight == 2U);
+    BOOST_TEST((read.heardOf == sent.heardOf));
+    BOOST_TEST(read.load.shares.at(0).pendingTokens == 640U);
     BOOST_TEST(read.load.prompts.at(0).parts.at(1) == 6U);
     BOOST_TEST(read.digests.at(0).hash == 8U);
+    BOOST_TEST((read.load.leaving == sent.load.leaving));
     BOOST_CHECK_THROW(decodeDatagram("\x93garbage", 8), std::exception);
 }
 
