A refusal never says "not run" after an attempt that may have run; public headers can be included together

Cause: an idempotent request whose first answer was lost, failed or overdue and whose second upstream refused it was answered 503 upstream_refused, which promises that it did not run. Change: an exchange keeps that an attempt may have run; a refusal that would promise otherwise becomes 502 or 504. Before and after: three tests in test_entry_core, two failed before (upstream_refused), none after.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -49,7 +49,7 @@
 };
 
 /// Own final answers of a router.
-enum class refusal : std::uint8_t {
+enum class refusal_reason : std::uint8_t {
     noRules, // no configuration yet
     noRoute,
     unknownKey,
@@ -64,28 +64,28 @@
 };
 
 struct refusal_info {
-    refusal reason;
+    refusal_reason reason;
     std::string_view name;
     int status;
     bool promisesNotRun;
 };
 
 inline constexpr auto refusalTable = std::to_array<refusal_info>({
-    {refusal::noRules, "no_rules", 503, true},
-    {refusal::noRoute, "no_route", 404, true},
-    {refusal::unknownKey, "unknown_key", 401, true},
-    {refusal::noUpstream, "no_upstream", 503, true},
-    {refusal::noRoom, "no_room", 503, true},
-    {refusal::upstreamRefused, "upstream_refused", 503, true},
-    {refusal::draining, "draining", 503, true},
-    {refusal::timeoutNotRun, "timeout_not_run", 503, true},
-    {refusal::timeoutUnknown, "timeout_unknown", 504, false},
-    {refusal::upstreamFailed, "upstream_failed", 502, false},
+    {refusal_reason::noRules, "no_rules", 503, true},
+    {refusal_reason::noRoute, "no_route", 404, true},
+    {refusal_reason::unknownKey, "unknown_key", 401, true},
+    {refusal_reason::noUpstream, "no_upstream", 503, true},
+    {refusal_reason::noRoom, "no_room", 503, true},
+    {refusal_reason::upstreamRefused, "upstream_refused", 503, true},
+    {refusal_reason::draining, "draining", 503, true},
+    {refusal_reason::timeoutNotRun, "timeout_not_run", 503, true},
+    {refusal_reason::timeoutUnknown, "timeout_unknown", 504, false},
+    {refusal_reason::upstreamFailed, "upstream_failed", 502, false},
 });
 
-static_assert(refusalTable.size() == static_cast<std::size_t>(refusal::count));
+static_assert(refusalTable.size() == static_cast<std::size_t>(refusal_reason::count));
 
-constexpr const refusal_info &infoOf(refusal reason)
+constexpr const refusal_info &infoOf(refusal_reason reason)
 {
     return refusalTable[static_cast<std::size_t>(reason)];
 }
@@ -217,7 +217,7 @@
 /// Give a final answer of this router. The exchange is over.
 struct refuse {
     exchange_id exchange = 0;
-    refusal reason = refusal::upstreamFailed;
+    refusal_reason reason = refusal_reason::upstreamFailed;
     std::optional<duration> retryAfter;
 };
 
@@ -267,7 +267,6 @@
         return m_rules.get();
     }
 
-
     /// True if what this router knows of cached prompts is more than its own requests since a start.
     bool knowsCaches() const
     {
@@ -314,7 +313,8 @@
         std::vector<upstream_number> tried;
         placement_outcome lastPlacement = placement_outcome::chosen;
         time_point pausedUntil; // with placement_outcome::allPaused
-        refusal lastFailure = refusal::noUpstream; // what a final refusal would say
+        refusal_reason lastFailure = refusal_reason::noUpstream; // what a final refusal would say
+        std::optional<refusal_reason> mayHaveRun; // an attempt whose outcome is not known: no refusal may say "not run" any more
     };
 
     using exchanges = std::unordered_map<exchange_id, exchange>;
@@ -347,7 +347,7 @@
     void noteRequests(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
     void endAttempt(time_point now, exchange &work, upstream_verdict verdict);
     void checkTime(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
-    void refuse(time_point now, exchange_id id, exchange &work, refusal reason, std::vector<effect> &effects);
+    void refuse(time_point now, exchange_id id, exchange &work, refusal_reason reason, std::vector<effect> &effects);
     void cut(time_point now, exchange_id id, exchange &work, std::string_view why, std::vector<effect> &effects);
     void report(time_point now, const exchange &work, std::string_view outcome, std::string_view reason,
                 std::vector<effect> &effects) const;
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -46,7 +46,7 @@
 inline constexpr upstream_number noUpstreamNumber = 0;
 
 /// What placement needs to know of a request.
-struct placement_request {
+struct choice_request {
     std::string_view service;
     const prompt_parts *parts = nullptr; // null or empty for plain services
     std::uint64_t tieBreak = 0; // spreads equal choices
@@ -109,7 +109,7 @@
 };
 
 /// One listed incarnation and what this router knows of it.
-struct upstream_state {
+struct upstream_entry {
     upstream_record record;
     std::uint64_t hash = 0; // of the instance's name
     upstream_number number = noUpstreamNumber;
@@ -158,7 +158,7 @@
     /// Routers that share the starts of a cold upstream.
     void setRouters(std::string self, std::vector<std::string> live);
 
-    placement choose(const placement_request &request, const traffic_rules &rules, time_point now);
+    placement choose(const choice_request &request, const traffic_rules &rules, time_point now);
 
     /// Counts a request that is sent now.
     /// @param unreadTokens Of its prompt, as in placement.
@@ -226,7 +226,7 @@
     void judge(upstream_number number, upstream_verdict verdict, time_point now);
 
     /// @return nullptr if the number is no longer listed.
-    const upstream_state *find(upstream_number number) const;
+    const upstream_entry *find(upstream_number number) const;
 
     /// False if the upstream left the list, is leaving, or its domain was closed.
     bool mayUse(upstream_number number) const;
@@ -242,16 +242,16 @@
     }
 
     /// Requests at an upstream: what it stated, corrected by what this router started and ended since.
-    double estimatedLoad(const upstream_state &upstream, time_point now) const;
+    double estimatedLoad(const upstream_entry &upstream, time_point now) const;
 
 private:
     /// A subject's upstreams by rank; new subjects go to one of the first two.
     static constexpr std::size_t homes = 2;
-    using home_list = std::array<const upstream_state *, homes>;
+    using home_list = std::array<const upstream_entry *, homes>;
 
     /// An upstream that takes part in a choice.
     struct candidate {
-        upstream_state *state = nullptr;
+        upstream_entry *state = nullptr;
         double load = 0;
     };
 
@@ -259,7 +259,7 @@
     struct prompt_view {
         home_list ranked {};
         std::vector<prompt_holding> holdings;
-        const upstream_state *holder = nullptr; // keeps most of the prompt and answers; null if nobody does
+        const upstream_entry *holder = nullptr; // keeps most of the prompt and answers; null if nobody does
         std::uint64_t heldTokens = 0; // that it keeps
     };
 
@@ -269,23 +269,23 @@
     load_notice sumOf(notice_scope scope, time_point now) const;
     void addLeaving(load_notice &notice, time_point now) const;
     const upstream_number *numberOf(std::uint64_t hash) const;
-    bool isOpen(const upstream_state &upstream) const;
-    bool mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const;
-    std::vector<candidate> candidatesFor(const placement_request &request, placement &result, double &totalLoad, double &totalFailures,
+    bool isOpen(const upstream_entry &upstream) const;
+    bool mayStartCold(upstream_entry &upstream, const service_rule &rule, time_point now) const;
+    std::vector<candidate> candidatesFor(const choice_request &request, placement &result, double &totalLoad, double &totalFailures,
                                          time_point now);
     prompt_view viewPrompt(const std::vector<candidate> &open, const prompt_parts &parts, time_point now) const;
-    const std::vector<upstream_state *> &ofService(std::string_view service);
-    double scoreEngine(const candidate &option, const placement_request &request, const service_rule &rule, const prompt_view &prompt,
+    const std::vector<upstream_entry *> &ofService(std::string_view service);
+    double scoreEngine(const candidate &option, const choice_request &request, const service_rule &rule, const prompt_view &prompt,
                        placement &details, time_point now) const;
-    std::uint64_t pendingTokens(const upstream_state &upstream, time_point now) const;
+    std::uint64_t pendingTokens(const upstream_entry &upstream, time_point now) const;
     /// Time that an engine needs for prompts of which no notice has told yet.
     double unseenReadingMs(std::size_t engines, time_point now) const;
     static double scoreService(const candidate &option);
-    upstream_state *mutableState(upstream_number number);
+    upstream_entry *mutableState(upstream_number number);
 
     std::string m_ownDomain;
-    std::map<std::string, upstream_state> m_upstreams; // by instance
-    std::unordered_map<std::string, std::vector<upstream_state *>> m_byService; // into m_upstreams
+    std::map<std::string, upstream_entry> m_upstreams; // by instance
+    std::unordered_map<std::string, std::vector<upstream_entry *>> m_byService; // into m_upstreams
     bool m_servicesChanged = false; // m_byService has to be built again
     std::unordered_map<upstream_number, std::string> m_instanceOf;
     std::unordered_set<std::string> m_closedDomains;
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -40,17 +40,17 @@
     return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
-std::optional<duration> retryAfterFor(refusal reason)
+std::optional<duration> retryAfterFor(refusal_reason reason)
 {
     switch (reason) {
-    case refusal::noRules:
-    case refusal::noUpstream:
+    case refusal_reason::noRules:
+    case refusal_reason::noUpstream:
         return limits::retryAfterNone;
-    case refusal::noRoom:
+    case refusal_reason::noRoom:
         return limits::retryAfterFull;
-    case refusal::upstreamRefused:
+    case refusal_reason::upstreamRefused:
         return limits::retryAfterRefused;
-    case refusal::draining:
+    case refusal_reason::draining:
         return limits::retryAfterDraining;
     default:
         return std::nullopt;
@@ -61,7 +61,7 @@
 
 log_line entry_core::attemptLine(time_point now, const exchange &work) const
 {
-    const upstream_state *upstream = m_upstreams.find(work.upstream);
+    const upstream_entry *upstream = m_upstreams.find(work.upstream);
     log_line line;
     line.with("request", work.request.requestId)
         .with("upstream", upstream ? std::string_view(upstream->record.instance) : "gone")
@@ -160,26 +160,26 @@
     work.endsAt = now + input.request.deadline;
     work.timeoutAt = work.endsAt;
     if (!m_rules) {
-        refuse(now, input.exchange, work, refusal::noRules, effects);
+        refuse(now, input.exchange, work, refusal_reason::noRules, effects);
         return;
     }
     work.route = m_rules->match(input.request.host, input.request.path);
     if (work.route == nullptr) {
-        refuse(now, input.exchange, work, refusal::noRoute, effects);
+        refuse(now, input.exchange, work, refusal_reason::noRoute, effects);
         return;
     }
     work.priority = work.route->priority;
     if (m_rules->needsKeys() && !work.route->isPublic) {
         const account_rule *account = input.request.key ? m_rules->accountFor(*input.request.key) : nullptr;
         if (account == nullptr) {
-            refuse(now, input.exchange, work, refusal::unknownKey, effects);
+            refuse(now, input.exchange, work, refusal_reason::unknownKey, effects);
             return;
         }
         work.account = account->name;
         work.priority = account->hasPriority ? account->priority : work.priority;
     }
     if (m_drainingSince && now - *m_drainingSince > limits::drainAccepts) {
-        refuse(now, input.exchange, work, refusal::draining, effects);
+        refuse(now, input.exchange, work, refusal_reason::draining, effects);
         return;
     }
     if (work.route->timeout.count() > 0) {
@@ -195,7 +195,7 @@
 {
     static const prompt_parts noParts;
     const prompt_parts &parts = work.route->carriesPrompt ? work.request.parts : noParts;
-    placement_request wanted;
+    choice_request wanted;
     wanted.service = work.service;
     wanted.parts = work.route->carriesPrompt ? &parts : nullptr;
     wanted.tieBreak = hashText(work.request.requestId, work.sends);
@@ -206,7 +206,7 @@
     if (choice.outcome != placement_outcome::chosen) {
         return false;
     }
-    const upstream_state &upstream = *m_upstreams.find(choice.upstream);
+    const upstream_entry &upstream = *m_upstreams.find(choice.upstream);
     if (work.sends > 0) {
         m_retries[work.service].addRepeat(now);
     }
@@ -255,7 +255,7 @@
 void entry_core::placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
 {
     if (work.timeoutAt - now < limits::shortestUsefulTime) {
-        refuse(now, id, work, work.sends > 0 ? work.lastFailure : refusal::timeoutNotRun, effects);
+        refuse(now, id, work, work.sends > 0 ? work.lastFailure : refusal_reason::timeoutNotRun, effects);
         return;
     }
     if (place(now, id, work, effects)) {
@@ -272,7 +272,8 @@
         refuse(now, id, work, work.lastFailure, effects);
         return;
     }
-    refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal::noUpstream : refusal::noRoom, effects);
+    refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal_reason::noUpstream : refusal_reason::noRoom,
+           effects);
 }
 
 void entry_core::placeWaiting(time_point now, std::vector<effect> &effects)
@@ -359,12 +360,12 @@
     if (answer.notRun) {
         effects.push_back(record(log_event::attemptRefused, line));
         endAttempt(now, work, upstream_verdict::refused);
-        work.lastFailure = refusal::upstreamRefused;
+        work.lastFailure = refusal_reason::upstreamRefused;
         work.state = phase::waiting;
         if (mayTryAgain(now, work, effects)) {
             placeOrWait(now, input.exchange, work, effects);
         } else {
-            refuse(now, input.exchange, work, refusal::upstreamRefused, effects);
+            refuse(now, input.exchange, work, refusal_reason::upstreamRefused, effects);
         }
         return;
     }
@@ -377,7 +378,8 @@
     const bool isServerFault = answer.status >= 500 || answer.status == 429 || answer.status == 408 || answer.status == 421;
     if (isServerFault || (isSuccess && !answer.isSigned)) {
         effects.push_back(record(log_event::attemptFailed, line));
-        work.lastFailure = refusal::upstreamFailed;
+        work.lastFailure = refusal_reason::upstreamFailed;
+        work.mayHaveRun = refusal_reason::upstreamFailed;
         if (work.route->mayRepeat() && mayTryAgain(now, work, effects)) {
             endAttempt(now, work, upstream_verdict::failed);
             work.state = phase::waiting;
@@ -389,7 +391,7 @@
             = answer.isSigned && !isSuccess && answer.status != 503 && answer.status != 429 && answer.status != 408 && answer.status != 421;
         if (!passable) {
             endAttempt(now, work, upstream_verdict::failed);
-            refuse(now, input.exchange, work, refusal::upstreamFailed, effects);
+            refuse(now, input.exchange, work, refusal_reason::upstreamFailed, effects);
             return;
         }
         m_upstreams.judge(work.upstream, upstream_verdict::failed, now);
@@ -420,12 +422,13 @@
     if (!wasSent) {
         --work.sends;
         if (work.sends == 0) {
-            work.lastFailure = refusal::noUpstream;
+            work.lastFailure = refusal_reason::noUpstream;
         }
     } else {
-        work.lastFailure = refusal::upstreamFailed;
+        work.lastFailure = refusal_reason::upstreamFailed;
+        work.mayHaveRun = refusal_reason::upstreamFailed;
         if (!work.route->mayRepeat() || !mayTryAgain(now, work, effects)) {
-            refuse(now, input.exchange, work, refusal::upstreamFailed, effects);
+            refuse(now, input.exchange, work, refusal_reason::upstreamFailed, effects);
             return;
         }
     }
@@ -557,7 +560,8 @@
 {
     if (work.state == phase::waiting) {
         if (now >= work.waitUntil) {
-            refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal::noUpstream : refusal::noRoom, effects);
+            refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal_reason::noUpstream : refusal_reason::noRoom,
+                   effects);
         }
         return;
     }
@@ -568,7 +572,7 @@
         if (relaying) {
             cut(now, id, work, "timeout", effects);
         } else {
-            refuse(now, id, work, refusal::timeoutUnknown, effects);
+            refuse(now, id, work, refusal_reason::timeoutUnknown, effects);
         }
         return;
     }
@@ -589,17 +593,21 @@
     }
     effects.push_back(entry_effect::stop_attempt {id});
     endAttempt(now, work, upstream_verdict::overdue);
-    work.lastFailure = refusal::timeoutUnknown;
+    work.lastFailure = refusal_reason::timeoutUnknown;
+    work.mayHaveRun = refusal_reason::timeoutUnknown;
     work.state = phase::waiting;
     placeOrWait(now, id, work, effects);
 }
 
-void entry_core::refuse(time_point now, exchange_id id, exchange &work, refusal reason, std::vector<effect> &effects)
+void entry_core::refuse(time_point now, exchange_id id, exchange &work, refusal_reason reason, std::vector<effect> &effects)
 {
     if (work.isResume) {
         cut(now, id, work, infoOf(reason).name, effects); // the caller has the head of a success already
         return;
     }
+    if (work.mayHaveRun && infoOf(reason).promisesNotRun) {
+        reason = *work.mayHaveRun;
+    }
     entry_effect::refuse answer;
     answer.exchange = id;
     answer.reason = reason;
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -53,7 +53,7 @@
 }
 
 /// Rank of an upstream for a subject; the highest of all is the subject's home.
-std::uint64_t rankOf(std::uint64_t subject, const upstream_state &upstream)
+std::uint64_t rankOf(std::uint64_t subject, const upstream_entry &upstream)
 {
     return mixHash(subject, upstream.hash);
 }
@@ -71,7 +71,7 @@
     const time_point coldUntil = now + record.coldFor;
     if (known != m_upstreams.end() && known->second.record.incarnation == record.incarnation
         && known->second.record.address == record.address) {
-        upstream_state &state = known->second;
+        upstream_entry &state = known->second;
         upstream_record same = state.record;
         same.coldFor = record.coldFor;
         const bool changed = !(same == record) || state.missing;
@@ -81,7 +81,7 @@
         state.coldUntil = coldUntil;
         return changed;
     }
-    upstream_state state;
+    upstream_entry state;
     state.record = record;
     state.hash = hashText(record.instance);
     state.number = ++m_lastNumber;
@@ -148,7 +148,7 @@
     m_routerHashes = hashesOf(m_routers);
 }
 
-double upstream_set::estimatedLoad(const upstream_state &upstream, time_point now) const
+double upstream_set::estimatedLoad(const upstream_entry &upstream, time_point now) const
 {
     double told = 0;
     for (const told_share &share : upstream.told) {
@@ -162,7 +162,7 @@
     return upstream.inFlight + std::max(told, stated);
 }
 
-std::uint64_t upstream_set::pendingTokens(const upstream_state &upstream, time_point now) const
+std::uint64_t upstream_set::pendingTokens(const upstream_entry &upstream, time_point now) const
 {
     std::uint64_t tokens = upstream.pendingTokens;
     for (const told_share &share : upstream.told) {
@@ -182,7 +182,7 @@
     told.at = now;
     told.scope = notice.scope;
     for (const upstream_number number : told.upstreams) {
-        if (upstream_state *state = mutableState(number)) {
+        if (upstream_entry *state = mutableState(number)) {
             std::erase_if(state->told, [teller](const told_share &share) { return share.teller == teller; });
         }
     }
@@ -272,7 +272,7 @@
 
 std::vector<upstream_record> upstream_set::unknownEngines(const traffic_rules &rules) const
 {
-    std::vector<std::pair<std::uint64_t, const upstream_state *>> own;
+    std::vector<std::pair<std::uint64_t, const upstream_entry *>> own;
     for (const auto &[instance, state] : m_upstreams) {
         const service_rule *rule = rules.service(state.record.service);
         if (rule == nullptr || rule->engineSlots == 0 || m_learnt.contains(state.number) || !isOpen(state)) {
@@ -356,7 +356,7 @@
     }
     std::unordered_map<std::uint64_t, const told_share *> own; // by hash of the upstream
     for (const upstream_number number : told->second.upstreams) {
-        if (const upstream_state *state = find(number)) {
+        if (const upstream_entry *state = find(number)) {
             const auto share = std::find_if(state->told.begin(), state->told.end(),
                                             [teller = known->second](const told_share &each) { return each.teller == teller; });
             if (share != state->told.end()) {
@@ -389,13 +389,13 @@
     return prompts;
 }
 
-bool upstream_set::isOpen(const upstream_state &upstream) const
+bool upstream_set::isOpen(const upstream_entry &upstream) const
 {
     return !upstream.record.isLeaving && !upstream.saidLeaving
            && (m_closedDomains.empty() || !m_closedDomains.contains(upstream.record.domain));
 }
 
-bool upstream_set::mayStartCold(upstream_state &upstream, const service_rule &rule, time_point now) const
+bool upstream_set::mayStartCold(upstream_entry &upstream, const service_rule &rule, time_point now) const
 {
     if (now >= upstream.coldUntil || rule.coldRequestsPerSecond <= 0) {
         return true;
@@ -412,10 +412,10 @@
     return upstream.coldTokens >= 1.0;
 }
 
-double upstream_set::scoreEngine(const candidate &option, const placement_request &request, const service_rule &rule,
+double upstream_set::scoreEngine(const candidate &option, const choice_request &request, const service_rule &rule,
                                  const prompt_view &prompt, placement &details, time_point now) const
 {
-    const upstream_state &upstream = *option.state;
+    const upstream_entry &upstream = *option.state;
     const prompt_parts &parts = *request.parts;
     const std::uint64_t total = totalTokens(parts);
     const std::uint64_t own = parts.empty() ? 0 : parts.back().tokens;
@@ -456,7 +456,7 @@
     return 10.0 * option.load / slots + 60.0 * waiting / slots;
 }
 
-const std::vector<upstream_state *> &upstream_set::ofService(std::string_view service)
+const std::vector<upstream_entry *> &upstream_set::ofService(std::string_view service)
 {
     if (m_servicesChanged) {
         m_servicesChanged = false;
@@ -468,12 +468,12 @@
     return m_byService[std::string(service)];
 }
 
-std::vector<upstream_set::candidate> upstream_set::candidatesFor(const placement_request &request, placement &result, double &totalLoad,
+std::vector<upstream_set::candidate> upstream_set::candidatesFor(const choice_request &request, placement &result, double &totalLoad,
                                                                  double &totalFailures, time_point now)
 {
     std::vector<candidate> open;
     bool anyTried = false;
-    for (upstream_state *state : ofService(request.service)) {
+    for (upstream_entry *state : ofService(request.service)) {
         if (!isOpen(*state)) {
             continue;
         }
@@ -495,7 +495,7 @@
     prompt_view view;
     view.holdings = m_prefixes.holdings(parts, now);
     for (const prompt_holding &holding : view.holdings) {
-        const upstream_state *state = find(holding.upstream);
+        const upstream_entry *state = find(holding.upstream);
         // One that leaves still answers; one that failed lately may not.
         const bool answers = state != nullptr && now >= state->avoidedUntil && !state->missing && state->failuresInRow == 0;
         if (answers && holding.tokens > view.heldTokens) {
@@ -523,7 +523,7 @@
     return view;
 }
 
-placement upstream_set::choose(const placement_request &request, const traffic_rules &rules, time_point now)
+placement upstream_set::choose(const choice_request &request, const traffic_rules &rules, time_point now)
 {
     placement best;
     const service_rule *rule = rules.service(request.service);
@@ -552,7 +552,7 @@
     // Routers with the same news would all choose the engine that looks best; what they have not told yet spreads them.
     const double spreadMs = isEngine ? limits::unseenSpread * unseenReadingMs(open.size(), now) : 0;
     for (const candidate &each : open) {
-        upstream_state &state = *each.state;
+        upstream_entry &state = *each.state;
         const double slots = std::max(1U, state.record.slots);
         const double most = isEngine ? std::min(slots, loadBound) : slots * (1.0 + limits::serviceQueueShare);
         const bool isAvoided = anyUsable && now < state.avoidedUntil;
@@ -612,7 +612,7 @@
 void upstream_set::start(upstream_number number, const prompt_parts &parts, std::uint64_t unreadTokens, std::uint64_t heldTokens,
                          time_point now)
 {
-    upstream_state *state = mutableState(number);
+    upstream_entry *state = mutableState(number);
     if (state == nullptr) {
         return;
     }
@@ -640,7 +640,7 @@
 
 void upstream_set::firstAnswer(upstream_number number, std::uint64_t unreadTokens)
 {
-    upstream_state *state = mutableState(number);
+    upstream_entry *state = mutableState(number);
     if (state == nullptr) {
         return;
     }
@@ -649,7 +649,7 @@
 
 void upstream_set::reportLoad(upstream_number number, const upstream_load &load, time_point now)
 {
-    upstream_state *state = mutableState(number);
+    upstream_entry *state = mutableState(number);
     if (state == nullptr) {
         return;
     }
@@ -661,7 +661,7 @@
 
 void upstream_set::finish(upstream_number number, std::uint64_t unreadTokens, std::uint64_t heldTokens, bool awaitsFirst)
 {
-    upstream_state *state = mutableState(number);
+    upstream_entry *state = mutableState(number);
     if (state == nullptr) {
         return;
     }
@@ -674,7 +674,7 @@
 
 bool upstream_set::noteLeaving(upstream_number number, time_point now)
 {
-    upstream_state *state = mutableState(number);
+    upstream_entry *state = mutableState(number);
     if (state == nullptr || state->saidLeaving) {
         return false;
     }
@@ -685,7 +685,7 @@
 
 void upstream_set::pause(upstream_number number, duration span, time_point now)
 {
-    if (upstream_state *state = mutableState(number)) {
+    if (upstream_entry *state = mutableState(number)) {
         state->pausedUntil = std::max(state->pausedUntil, now + span);
         state->isProbed = true;
     }
@@ -693,7 +693,7 @@
 
 void upstream_set::judge(upstream_number number, upstream_verdict verdict, time_point now)
 {
-    upstream_state *state = mutableState(number);
+    upstream_entry *state = mutableState(number);
     if (state == nullptr || verdict == upstream_verdict::unknown) {
         return;
     }
@@ -718,13 +718,13 @@
     }
 }
 
-upstream_state *upstream_set::mutableState(upstream_number number)
+upstream_entry *upstream_set::mutableState(upstream_number number)
 {
     const auto instance = m_instanceOf.find(number);
     return instance == m_instanceOf.end() ? nullptr : &m_upstreams.at(instance->second);
 }
 
-const upstream_state *upstream_set::find(upstream_number number) const
+const upstream_entry *upstream_set::find(upstream_number number) const
 {
     const auto instance = m_instanceOf.find(number);
     return instance == m_instanceOf.end() ? nullptr : &m_upstreams.at(instance->second);
@@ -732,7 +732,7 @@
 
 bool upstream_set::mayUse(upstream_number number) const
 {
-    const upstream_state *state = find(number);
+    const upstream_entry *state = find(number);
     return state != nullptr && isOpen(*state);
 }
 
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -11,7 +11,7 @@
 {
     request("read");
     BOOST_TEST(refusedFor() == "no_rules");
-    BOOST_TEST(infoOf(refusal::noRules).status == 503);
+    BOOST_TEST(infoOf(refusal_reason::noRules).status == 503);
     BOOST_TEST(effect<entry_effect::refuse>()->retryAfter.has_value());
 }
 
@@ -76,8 +76,8 @@
     const exchange_id id = request("booking");
     fail(id, attempt_failure::lost);
     BOOST_TEST(refusedFor() == "upstream_failed");
-    BOOST_TEST(infoOf(refusal::upstreamFailed).status == 502);
-    BOOST_TEST(!infoOf(refusal::upstreamFailed).promisesNotRun);
+    BOOST_TEST(infoOf(refusal_reason::upstreamFailed).status == 502);
+    BOOST_TEST(!infoOf(refusal_reason::upstreamFailed).promisesNotRun);
 }
 
 BOOST_AUTO_TEST_CASE(nonIdempotent_damagedAnswer_isNeverSentAgain)
@@ -105,7 +105,7 @@
     const exchange_id id = request("booking");
     answer(id, 503, true);
     BOOST_TEST(refusedFor() == "upstream_refused");
-    BOOST_TEST(infoOf(refusal::upstreamRefused).status == 503);
+    BOOST_TEST(infoOf(refusal_reason::upstreamRefused).status == 503);
 }
 
 BOOST_AUTO_TEST_CASE(nonIdempotent_503WithoutTheStatement_becomes502)
@@ -290,7 +290,7 @@
     now = time_point(3s);
     request("read");
     BOOST_TEST(refusedFor() == "draining");
-    BOOST_TEST(infoOf(refusal::draining).promisesNotRun);
+    BOOST_TEST(infoOf(refusal_reason::draining).promisesNotRun);
 }
 
 BOOST_AUTO_TEST_CASE(retryBudget_usedUp_sendsNothingAgain)
@@ -447,4 +447,36 @@
     BOOST_TEST(sentTo() == "desk-0");
 }
 
+// An earlier attempt of the request may have run: a later upstream's word that it did not run says nothing of that one.
+BOOST_AUTO_TEST_CASE(answerLostThenRefused_idempotentRequest_isNotCalledNotRun)
+{
+    start(0, 2);
+    const exchange_id id = request("read");
+    fail(id, attempt_failure::lost);
+    BOOST_REQUIRE(sentTo() != "nobody");
+    answer(id, 503, true);
+    BOOST_TEST(refusedFor() == "upstream_failed");
+}
+
+BOOST_AUTO_TEST_CASE(serverFaultThenUnreachable_idempotentRequest_isNotCalledNotRun)
+{
+    start(0, 2);
+    const exchange_id id = request("read");
+    answer(id, 500);
+    BOOST_REQUIRE(sentTo() != "nobody");
+    fail(id, attempt_failure::unreachable);
+    BOOST_REQUIRE(refusedFor() != "nothing");
+    BOOST_TEST(refusedFor() == "upstream_failed");
+}
+
+BOOST_AUTO_TEST_CASE(overdueThenRefused_idempotentRequest_isNotCalledNotRun)
+{
+    start(0, 2);
+    const exchange_id id = request("read");
+    tickAt(250ms);
+    BOOST_REQUIRE(sentTo() != "nobody");
+    answer(id, 503, true);
+    BOOST_TEST(refusedFor() == "timeout_unknown");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -94,7 +94,7 @@
     bool send(unsigned router, std::uint64_t subject)
     {
         const prompt_parts parts {{1, 500}, {1000 + subject, subjectTokens}, {1'000'000 + ++requests, 1300}};
-        placement_request wanted;
+        choice_request wanted;
         wanted.service = "engines";
         wanted.parts = &parts;
         wanted.tieBreak = requests;
