Streams are judged by their events: comments and dribbled bytes no longer keep a stalled one alive

Cause: the agent's silence timer began anew with any byte of the engine, the router's with any byte of the agent. An engine that hangs and sends a comment line every 50 ms was waited for as long as it liked. Change: only a passed-on part of a chat answer, and only a whole record, counts. Before and after: fleet_engineStallsWithComments_isResumedLikeASilentOne failed (the engine was never given up in 5 s), passes; the other 15 tests of test_daemon_streams pass.

--- a/programs/agent/agent_upstream.cpp
+++ b/programs/agent/agent_upstream.cpp
@@ -267,7 +267,6 @@
     {
         m_lines.clear();
         m_status = 0;
-        m_hadPart = false;
         // A connection that broke may have taken others of the pool with it, so a resume opens a new one.
         const bool isFirst = !std::exchange(m_isResume, true);
         const std::string &address = m_shared->options.address;
@@ -331,13 +330,17 @@
             return;
         }
         m_lines.add(piece);
+        const std::uint64_t before = m_progress;
         try {
             takeLines();
         } catch (const std::exception &) {
             refuse(error_code::upstreamFailed); // not a chat answer
             return;
         }
-        m_call.watch(shared_from_this(), m_hadPart ? m_shared->options.tokenSilence : m_shared->options.firstTokenTimeout);
+        // Tokens count, not bytes: an engine that hangs may send comments for as long as it likes.
+        if (m_progress != before) {
+            m_call.watch(shared_from_this(), m_shared->options.tokenSilence);
+        }
         if (m_isDone) {
             // From the loop: the body usually ends with these bytes, and its connection is then free for the next work.
             boost::asio::post(m_shared->context, [self = shared_from_this()] { self->finish(true); });
@@ -365,7 +368,6 @@
         const std::size_t begin = line.find_first_not_of(' ', prefix.size());
         const std::size_t end = line.find_last_not_of("\r ");
         const std::string payload(begin == std::string_view::npos ? std::string_view() : line.substr(begin, end + 1 - begin));
-        m_hadPart = true;
         if (payload == "[DONE]") {
             m_isDone = true;
             m_sawEnd = true;
@@ -397,6 +399,7 @@
         if (!text.empty()) {
             m_token(++m_pieces == 1);
         }
+        ++m_progress;
         m_stream->append({std::move(text), special ? payload : std::string()});
     }
 
@@ -484,11 +487,11 @@
     line_buffer m_lines; // of that answer
     token_usage m_usage;
     std::uint32_t m_pieces = 0;
+    std::uint64_t m_progress = 0; // pieces and other parts of the answer that were passed on
     std::uint32_t m_seen = 0; // pieces when the last connection broke
     unsigned m_resumes = 0; // without a new piece
     bool m_isResume = false;
     bool m_reached = false; // a byte of the request may have reached the upstream
-    bool m_hadPart = false; // on the current connection
     bool m_headSent = false;
     bool m_isDone = false; // the last line came
     bool m_sawEnd = false; // the answer is whole, with or without its last line
--- a/programs/router/router_attempt.cpp
+++ b/programs/router/router_attempt.cpp
@@ -158,7 +158,6 @@
 
 void attempt_runner::received(std::string &&piece)
 {
-    watchSilence();
     if (m_isOver) {
         return;
     }
@@ -186,6 +185,7 @@
             connectionBroken();
             return;
         }
+        watchSilence(); // whole records count, not bytes: a connection may dribble for as long as it likes
         if (take(record)) {
             return;
         }
--- a/tests/test_daemon_streams.cpp
+++ b/tests/test_daemon_streams.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <thread>
 
 using namespace nutmegtally;
@@ -166,6 +167,34 @@
     BOOST_TEST(result.body.find("[DONE]") == std::string::npos);
 }
 
+// Comment lines keep a connection open and say nothing of the engine's progress.
+BOOST_AUTO_TEST_CASE(fleet_engineStallsWithComments_isResumedLikeASilentOne)
+{
+    std::atomic<bool> wasGivenUp = false;
+    latch_flag ended;
+    scripted_server upstream(engine([&](scripted_exchange &exchange) {
+        exchange.startStream(200, "text/event-stream");
+        if (!exchange.header("X-Resume-Offset").empty()) {
+            exchange.write(chunk("two"));
+            exchange.write(streamEnd);
+            return;
+        }
+        exchange.write(chunk("one "));
+        for (int i = 0; i < 100 && !wasGivenUp; ++i) {
+            wasGivenUp = !exchange.write(": still here\n\n");
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        ended.set();
+    }));
+    agentSettings.upstream.tokenSilence = std::chrono::milliseconds(300);
+    startFleet(upstream.address());
+    const answer result = connect().chat();
+    BOOST_TEST(result.text() == "one two");
+    BOOST_TEST(result.body.find("[DONE]") != std::string::npos);
+    ended.wait();
+    BOOST_TEST(wasGivenUp);
+}
+
 BOOST_AUTO_TEST_CASE(router_silentConnection_isResumedAtTheNextRecord)
 {
     latch_flag done;
