A paused process sends nothing until it knows what it missed; lifetimes count the time of a suspended VM

Cause: the reducers' time was the steady clock, which stands still while a VM is suspended: told loads, heard leads and deadlines looked fresh after it. And a process that was stopped for seconds served the requests that had come meanwhile before it heard of leaving upstreams, closed domains or taken keys. Change: time comes from the boot clock.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -173,6 +173,10 @@
     exchange_id exchange = 0;
 };
 
+/// What this router knows of rules, upstreams and closures is as new as what another router or the platform has.
+struct state_verified {
+};
+
 struct drain_requested {
 };
 
@@ -239,11 +243,12 @@
 class entry_core
 {
 public:
-    using event = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
-                               entry_event::closures_changed, entry_event::routers_changed, entry_event::role_changed,
-                               entry_event::request_received, entry_event::caller_left, entry_event::load_told, entry_event::prompts_told,
-                               entry_event::held_parts_read, entry_event::answer_received, entry_event::attempt_failed,
-                               entry_event::stream_broken, entry_event::answer_finished, entry_event::drain_requested, entry_event::tick>;
+    using event
+        = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
+                       entry_event::closures_changed, entry_event::routers_changed, entry_event::role_changed,
+                       entry_event::request_received, entry_event::caller_left, entry_event::load_told, entry_event::prompts_told,
+                       entry_event::held_parts_read, entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken,
+                       entry_event::answer_finished, entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
     using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer,
                                 entry_effect::list_held_parts, entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
 
@@ -334,6 +339,7 @@
     void on(time_point now, const entry_event::attempt_failed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::answer_finished &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::state_verified &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::drain_requested &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
 
@@ -343,6 +349,7 @@
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeWaiting(time_point now, std::vector<effect> &effects);
     bool mayTryAgain(time_point now, exchange &work, std::vector<effect> &effects);
+    void notePause(time_point now, std::vector<effect> &effects);
     /// What an answer asks of this router besides its status: to pause, or to send nothing more.
     void noteRequests(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
     void endAttempt(time_point now, exchange &work, upstream_verdict verdict);
@@ -360,6 +367,8 @@
     exchanges m_exchanges;
     std::deque<exchange_id> m_waiting; // in order of arrival; entries whose exchange is over are skipped
     std::optional<time_point> m_drainingSince;
+    std::optional<time_point> m_appliedAt; // time of the last event; ticks leave no long gaps while the process runs
+    std::optional<time_point> m_unverifiedUntil; // after a pause of the process: upstreams may have left, keys may be gone
     std::optional<time_point> m_learnAt; // when engines are asked for what they keep
 };
 
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -61,11 +61,12 @@
     allCold, // the ones with room are cold and have got their requests of this second
     allTried,
     allPaused, // the ones with room asked for a pause
+    unverified, // this router was paused and does not know yet what it missed
     count
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(placement_outcome::count)> placementOutcomeNames = {
-    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused",
+    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused", "unverified",
 };
 
 constexpr std::string_view nameOf(placement_outcome outcome)
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -137,7 +137,8 @@
 
 time_point entry_daemon::now() const
 {
-    return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    // The steady clock stands still while the VM is suspended; leases, silences and deadlines go on.
+    return time_point(bootTime());
 }
 
 object_follower &entry_daemon::follower(followed kind)
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -103,6 +103,9 @@
         }
     }
     apply(news_event::digest_compared {datagram.name, isNewer, datagram.isLead && !m_leads.isLead()});
+    if (!isNewer && datagram.isLead && datagram.hasContact) {
+        m_serving.post(entry_event::state_verified {});
+    }
     if (!datagram.heardOf.empty()) {
         apply(news_event::heard_of {datagram.heardOf});
     }
@@ -129,6 +132,7 @@
         }
         try {
             takeNews(splitParts(result.body));
+            m_serving.post(entry_event::state_verified {});
             apply(news_event::exchange_done {});
         } catch (const std::exception &) {
             apply(news_event::exchange_failed {address});
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -78,6 +78,7 @@
 
 void entry_core::apply(time_point now, const event &input, std::vector<effect> &effects)
 {
+    notePause(now, effects);
     std::visit([&](const auto &each) { on(now, each, effects); }, input);
 }
 
@@ -193,6 +194,10 @@
 
 bool entry_core::place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
 {
+    if (m_unverifiedUntil && now < *m_unverifiedUntil) {
+        work.lastPlacement = placement_outcome::unverified;
+        return false;
+    }
     static const prompt_parts noParts;
     const prompt_parts &parts = work.route->carriesPrompt ? work.request.parts : noParts;
     choice_request wanted;
@@ -262,6 +267,7 @@
         return;
     }
     const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
+                       || work.lastPlacement == placement_outcome::unverified
                        || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.waitUntil);
     if (waits && work.sends == 0 && m_waiting.size() < limits::queueLimit && now < work.waitUntil) {
         work.state = phase::waiting;
@@ -527,6 +533,25 @@
     }
 }
 
+void entry_core::notePause(time_point now, std::vector<effect> &effects)
+{
+    if (m_appliedAt && now - *m_appliedAt >= limits::pauseNoticed) {
+        m_unverifiedUntil = now + limits::verifyTime;
+        log_line line;
+        line.with("pause_ms", now - *m_appliedAt).with("waits_ms", limits::verifyTime);
+        effects.push_back(record(log_event::stateUnverified, line));
+    }
+    m_appliedAt = now;
+}
+
+void entry_core::on(time_point now, const entry_event::state_verified &, std::vector<effect> &effects)
+{
+    if (m_unverifiedUntil) {
+        m_unverifiedUntil.reset();
+        placeWaiting(now, effects);
+    }
+}
+
 void entry_core::on(time_point now, const entry_event::drain_requested &, std::vector<effect> &)
 {
     if (!m_drainingSince) {
