--- a/tests/test_daemon_serving.cpp
+++ b/tests/test_daemon_serving.cpp
@@ -27,6 +27,7 @@
     std::string bytes; // "{id}" stands for the request's id
     bool closes = false;
     bool resets = false;
+    std::string later {}; // sent while nothing was asked for
 };
 
 /// Accepts connections, reads requests by their Content-Length, and answers as the script says.
@@ -47,6 +48,7 @@
 
     unsigned connections = 0;
     unsigned ended = 0; // connections that the router closed
+    unsigned copies = 0; // sent unasked
     std::vector<std::string> requests;
 
 private:
@@ -106,14 +108,9 @@
 
     void answer(const std::shared_ptr<peer> &each, const reaction &what, const std::string &request)
     {
-        each->output = what.bytes;
-        const std::size_t at = request.find("X-Request-Id: ");
-        const std::string id = at == std::string::npos ? "" : request.substr(at + 14, request.find("\r\n", at) - at - 14);
-        for (std::size_t mark = each->output.find("{id}"); mark != std::string::npos; mark = each->output.find("{id}")) {
-            each->output.replace(mark, 4, id);
-        }
+        each->output = withId(what.bytes, request);
         boost::asio::async_write(each->socket, boost::asio::buffer(each->output),
-                                 [this, each, what](const boost::system::error_code &fault, std::size_t) {
+                                 [this, each, what, request](const boost::system::error_code &fault, std::size_t) {
                                      if (fault) {
                                          ++ended;
                                          return;
@@ -125,10 +122,25 @@
                                          each->socket.close();
                                          return;
                                      }
+                                     if (!what.later.empty()) {
+                                         each->output = withId(what.later, request);
+                                         boost::asio::write(each->socket, boost::asio::buffer(each->output));
+                                         ++copies;
+                                     }
                                      read(each);
                                  });
     }
 
+    static std::string withId(std::string bytes, const std::string &request)
+    {
+        const std::size_t at = request.find("X-Request-Id: ");
+        const std::string id = at == std::string::npos ? "" : request.substr(at + 14, request.find("\r\n", at) - at - 14);
+        for (std::size_t mark = bytes.find("{id}"); mark != std::string::npos; mark = bytes.find("{id}")) {
+            bytes.replace(mark, 4, id);
+        }
+        return bytes;
+    }
+
     tcp::acceptor m_acceptor;
     std::function<reaction(const std::string &)> m_react;
 };
@@ -454,6 +466,35 @@
     BOOST_TEST(runUntil([&] { return server.ended == 1; })); // such a connection is not used again
 }
 
+// A whole copy, one cut in its body, one without a length, one without an id.
+BOOST_AUTO_TEST_CASE(secondCopy_onAnIdleConnection_reachesNoCaller)
+{
+    const std::vector<std::string> copies {
+        signedHead + "Content-Length: 3\r\n\r\nold",
+        signedHead + "Content-Length: 9\r\n\r\nold",
+        signedHead + "\r\nold",
+        "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nold",
+    };
+    for (const std::string &copy : copies) {
+        std::size_t asked = 0;
+        scripted_upstream &server = upstream([&](const std::string &) {
+            return asked++ == 0 ? reaction {good.bytes, false, false, copy} : good;
+        });
+        tcp::socket client = connect();
+        send(client, request("read", "r1"));
+        BOOST_TEST(has(readUntil(client, "\r\n\r\nok"), "X-Request-Id: r1"));
+        BOOST_TEST(runUntil([&] { return server.copies == 1; }));
+        for (const char *id : {"r2", "r3"}) {
+            send(client, request("read", id));
+            const std::string answer = readUntil(client, "\r\n\r\nok");
+            BOOST_TEST(has(answer, std::string("X-Request-Id: ") + id));
+            BOOST_TEST(!has(answer, "old"));
+        }
+        BOOST_TEST(server.connections == 2U);
+        serving.post(entry_event::upstream_unlisted {"i-" + std::to_string(upstreams.size()), 0ms});
+    }
+}
+
 BOOST_AUTO_TEST_CASE(extraBytes_behindAnAnswer_endTheConnection)
 {
     scripted_upstream &server = upstream([](const std::string &) { return reaction {good.bytes + "HTTP/1.1 200 OK\r\n"}; });
