--- a/src/router_leads.cpp
+++ b/src/router_leads.cpp
@@ -36,7 +36,8 @@
         }
         m_domainOf[place.name] = place.domain;
         const std::uint64_t rank = rankIn(place.domain, place.name);
-        m_domains[place.domain].push_back({std::move(place), rank});
+        std::vector<member> &members = m_domains[place.domain];
+        members.push_back({std::move(place), rank});
     }
     for (auto &[domain, members] : m_domains) {
         std::sort(members.begin(), members.end(), [](const member &a, const member &b) { return a.rank < b.rank; });
