Entry daemon: one plain fault answer, one question for contact

Found reading the change once more: the part that talks to other routers had a plainFault of its own beside exchange_server's, the tick a copy of hasContact(), and isWanted said one comparison twice.

--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -322,12 +322,10 @@
         carryOut(log_record {log_event::clockGap, line.take()});
     }
     m_lastTick = booted;
-    bool hasContact = true;
     for (std::size_t i = 0; i < followedKinds; ++i) {
         apply(static_cast<followed>(i), follower_event::tick {});
-        hasContact = hasContact && m_followers[i].hasContact();
     }
-    apply(news_event::tick {hasContact});
+    apply(news_event::tick {hasContact()});
     updateRole();
     if (isReady() && !m_wasReady) {
         m_wasReady = true;
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -21,11 +21,6 @@
 constexpr double toldBytesPerSecond = 500'000; // by a lead; a fifth of a 20 Mbit/s link
 constexpr unsigned heardOfRounds = 5; // rounds of notices between two that tell which routers live
 
-own_answer plainFault(int status, std::string text)
-{
-    return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
-}
-
 } // namespace
 
 void entry_daemon::apply(const router_news::event &event)
@@ -110,7 +105,7 @@
         apply(news_event::heard_of {datagram.heardOf});
     }
     // Each request counts once: a lead adds up what routers and domains tell, the others take the sum of one lead.
-    const bool isWanted = m_leads.isLead() ? datagram.load.scope != notice_scope::fleet : datagram.load.scope == notice_scope::fleet;
+    const bool isWanted = m_leads.isLead() != (datagram.load.scope == notice_scope::fleet);
     const bool isBest = datagram.load.scope == notice_scope::router || m_leads.isBestOf(datagram.name, at);
     m_serving.post(entry_event::load_told {datagram.load, isWanted && isBest});
 }
@@ -180,13 +175,13 @@
 own_answer entry_daemon::answerRouter(const http_exchange &asked)
 {
     if (asked.target() != routersPath) {
-        return plainFault(404, "this listener serves other routers\n");
+        return exchange_server::plainFault({404, "this listener serves other routers"});
     }
     news_message question;
     try {
         question = decodeNews(unpack(asked.body()));
     } catch (const std::exception &fault) {
-        return plainFault(400, std::string(fault.what()) + '\n');
+        return exchange_server::plainFault({400, fault.what()});
     }
     apply(news_event::heard {question.name, question.address, question.loadAddress, question.domain, question.routers});
     news_message answer = ownNews();
