The known red case of an answer without end: the scripted upstream copied 4 MB a write step

Cause, by strace of the sanitizer build: each step of the stand-in's write took 8 ms, as the composed operation copied its handler with the captured answer. 4 KB were read between two steps, so 256 KB (from which on an answer is forwarded before it is complete) would have taken 0.6 s, and the caller's deadline of 300 ms came first. The router answered 504, as it should: nothing had been forwarded. Ruled out: the router's tick (refusal logged at 300 ms), TCP windows (3 ms for 300 KB by a plain socket). The answer is now kept beside the connection.

--- a/tests/test_daemon_serving.cpp
+++ b/tests/test_daemon_serving.cpp
@@ -63,6 +63,9 @@
         std::array<char, 4096> chunk {};
         std::string input;
         std::string output;
+        // The answer being sent and its request. Not captured by the handler: the write operation copies its handler at every step.
+        scripted_answer scripted;
+        std::string request;
     };
 
     void accept()
@@ -107,29 +110,34 @@
                                      });
     }
 
-    void answer(const std::shared_ptr<peer> &each, const scripted_answer &scripted, const std::string &request)
+    void answer(const std::shared_ptr<peer> &each, scripted_answer scripted, const std::string &request)
     {
-        each->output = withId(scripted.bytes, request);
+        each->output = withId(std::move(scripted.bytes), request);
+        each->scripted = std::move(scripted);
+        each->request = request;
         boost::asio::async_write(each->socket, boost::asio::buffer(each->output),
-                                 [this, each, scripted, request](const boost::system::error_code &fault, std::size_t) {
-                                     if (fault) {
-                                         ++closedConnections;
-                                         return;
-                                     }
-                                     if (scripted.resets) {
-                                         each->socket.set_option(boost::asio::socket_base::linger(true, 0));
-                                     }
-                                     if (scripted.closes || scripted.resets) {
-                                         each->socket.close();
-                                         return;
-                                     }
-                                     if (!scripted.unsolicited.empty()) {
-                                         each->output = withId(scripted.unsolicited, request);
-                                         boost::asio::write(each->socket, boost::asio::buffer(each->output));
-                                         ++unsolicitedAnswers;
-                                     }
-                                     read(each);
-                                 });
+                                 [this, each](const boost::system::error_code &fault, std::size_t) { answered(each, fault); });
+    }
+
+    void answered(const std::shared_ptr<peer> &each, const boost::system::error_code &fault)
+    {
+        if (fault) {
+            ++closedConnections;
+            return;
+        }
+        if (each->scripted.resets) {
+            each->socket.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        if (each->scripted.closes || each->scripted.resets) {
+            each->socket.close();
+            return;
+        }
+        if (!each->scripted.unsolicited.empty()) {
+            each->output = withId(each->scripted.unsolicited, each->request);
+            boost::asio::write(each->socket, boost::asio::buffer(each->output));
+            ++unsolicitedAnswers;
+        }
+        read(each);
     }
 
     static std::string withId(std::string bytes, const std::string &request)
