--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -95,6 +95,7 @@
     std::string domain;
     retry_bounds retries;
     bool queriesCaches = false; // engines may have prompts cached from before this router's start: ask them for their lists
+    mechanism_set mechanisms {};
 };
 
 namespace entry_event
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <nutmegtally/load_update.h>
+#include <nutmegtally/mechanism.h>
 #include <nutmegtally/prefix_map.h>
 #include <nutmegtally/time.h>
 #include <nutmegtally/traffic_rules.h>
@@ -20,6 +21,11 @@
 namespace nutmegtally
 {
 
+namespace detail
+{
+struct score_terms;
+} // namespace detail
+
 /// An upstream's entry in the platform's list.
 struct upstream_record {
     std::string instance; // unique name; the upstream refuses requests that name another instance
@@ -140,7 +146,7 @@
 {
 public:
     /// @param ownDomain Failure domain of this router; its upstreams are preferred if scores are nearly equal.
-    explicit upstream_set(std::string ownDomain);
+    explicit upstream_set(std::string ownDomain, mechanism_set mechanisms = {});
 
     /// Adds or updates an upstream from the platform's list.
     /// @return True if anything but coldFor changed.
@@ -159,7 +165,7 @@
     /// Sets the live routers, which share the connections and the cold request rate of each upstream.
     void setRouters(std::string self, std::vector<std::string> live);
 
-    /// Chooses the eligible upstream with the lowest score: the expected delay with penalties, see scoreEngine() and scoreService().
+    /// Chooses the eligible upstream with the lowest score: the expected delay with penalties, see src/placement_score.h.
     placement choose(const placement_query &request, const traffic_rules &rules, time_point now);
 
     /// Counts a request that is being sent.
@@ -233,9 +239,6 @@
     /// @return nullptr if the number is no longer listed.
     const upstream_entry *find(upstream_number number) const;
 
-    /// False if the upstream is no longer listed, is leaving, or its domain is closed.
-    bool mayUse(upstream_number number) const;
-
     std::size_t size() const
     {
         return m_upstreams.size();
@@ -251,9 +254,8 @@
     double estimatedLoad(const upstream_entry &upstream, time_point now) const;
 
 private:
-    /// Number of preferred engines per affinity key; prompts that nobody has cached go to one of them.
-    static constexpr std::size_t preferredCount = 2;
-    using preferred_list = std::array<const upstream_entry *, preferredCount>;
+    /// Engines with the highest ranks for an affinity key, the first one first; contexts that nobody has cached go there.
+    using preferred_list = std::array<const upstream_entry *, 2>;
 
     /// An eligible upstream with its estimated load.
     struct candidate {
@@ -281,15 +283,16 @@
                                          time_point now);
     prompt_cache_view viewPromptCache(const std::vector<candidate> &eligible, const prompt_parts &parts, time_point now) const;
     const std::vector<upstream_entry *> &ofService(std::string_view service);
-    double scoreEngine(const candidate &option, const placement_query &request, const service_rule &rule, const prompt_cache_view &prompt,
-                       placement &details, time_point now) const;
+    /// @param details Receives how many tokens of the prompt the engine has cached, could fetch, and has to prefill.
+    detail::score_terms scoreEngine(const candidate &option, const prompt_parts &parts, const service_rule &rule,
+                                    const prompt_cache_view &prompt, placement &details, time_point now) const;
     std::uint64_t pendingPrefillTokens(const upstream_entry &upstream, time_point now) const;
     /// Estimated prefill time per engine of the prompts that other routers have placed but not reported yet.
     double unreportedPrefillMs(std::size_t engines, time_point now) const;
-    static double scoreService(const candidate &option);
     upstream_entry *mutableState(upstream_number number);
 
     std::string m_ownDomain;
+    mechanism_set m_mechanisms;
     std::map<std::string, upstream_entry> m_upstreams; // by instance
     std::unordered_map<std::string, std::vector<upstream_entry *>> m_byService; // into m_upstreams
     bool m_servicesChanged = false; // m_byService has to be built again
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -50,7 +50,7 @@
 
 entry_options coreOptionsFrom(const entry_settings &settings)
 {
-    return {settings.name, settings.domain, settings.retries, !settings.isFirstStart};
+    return {settings.name, settings.domain, settings.retries, !settings.isFirstStart, settings.mechanisms};
 }
 
 json_log_options logOptionsFrom(const entry_settings &settings)
@@ -102,6 +102,11 @@
         .with("objects", settings.objectsAddress)
         .with("version", NUTMEGTALLY_VERSION);
     carryOut(log_record {log_event::daemonStarted, line.take()});
+    if (!settings.mechanisms.isComplete()) {
+        log_line disabled;
+        disabled.with("disabled", disabledNames(settings.mechanisms));
+        carryOut(log_record {log_event::mechanismsDisabled, disabled.take()});
+    }
     const auto clock = [this] { return now(); };
     const std::size_t maxCallers = (settings.maxDescriptors - std::min(settings.maxDescriptors / 2, reservedDescriptors)) * 2 / 3;
     m_callerListener = std::make_unique<listener>(context, settings.listen, [this, maxCallers](boost::asio::ip::tcp::socket socket) {
--- a/programs/entry/entry_main.cpp
+++ b/programs/entry/entry_main.cpp
@@ -25,6 +25,9 @@
     }
     if (checkOnly) {
         std::cout << path << ": valid\n";
+        if (!settings.mechanisms.isComplete()) {
+            std::cout << "warning: switched off, for measurement only: " << disabledNames(settings.mechanisms) << '\n';
+        }
         return static_cast<int>(exit_code::success);
     }
     // A write to a connection that the peer has closed fails with an error; the signal is not needed.
--- a/programs/entry/entry_settings.cpp
+++ b/programs/entry/entry_settings.cpp
@@ -50,6 +50,9 @@
         settings.retries.slack = retries->value("slack", settings.retries.slack);
         settings.retries.window = seconds(retries->value("windowSeconds", 10.0));
     }
+    for (const std::string &name : document.value("disabledMechanisms", std::vector<std::string>())) {
+        settings.mechanisms.disable(mechanismFromName(name).value()); // the schema allows only known names
+    }
     settings.shutdownLimit = seconds(document.value("shutdownSeconds", 8.0));
     settings.maxDescriptors = document.value("maxDescriptors", settings.maxDescriptors);
     settings.logLevel = parseLogLevel(document.value("logLevel", std::string("info")));
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -25,6 +25,7 @@
     std::string objectsAddress; // of the object API
     bool isFirstStart = false; // of the whole system; no router has any state to sync
     retry_bounds retries;
+    mechanism_set mechanisms; // all but those that the settings disable
     duration shutdownLimit = std::chrono::seconds(8);
     std::size_t maxDescriptors = 1024; // file descriptors that this process may open
     log_level logLevel = log_level::info;
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -72,7 +72,7 @@
 
 entry_core::entry_core(entry_options options)
     : m_options(std::move(options))
-    , m_upstreams(m_options.domain)
+    , m_upstreams(m_options.domain, m_options.mechanisms)
 {
     m_upstreams.setRouters(m_options.name, {});
 }
@@ -231,7 +231,7 @@
     attempt.instance = upstream.record.instance;
     attempt.address = upstream.record.address;
     attempt.timeLeft = work.timeoutAt - now;
-    attempt.priority = work.priority;
+    attempt.priority = m_options.mechanisms.has(mechanism::requestPriority) ? work.priority : limits::neutralPriority;
     attempt.account = work.account;
     attempt.isStream = work.route->kind == request_kind::streaming;
     attempt.isResumable = work.route->isResumable;
@@ -270,7 +270,8 @@
     const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
                        || work.lastPlacement == placement_outcome::unverified
                        || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.queueUntil);
-    if (waits && work.sends == 0 && m_waiting.size() < limits::queueLimit && now < work.queueUntil) {
+    if (waits && m_options.mechanisms.has(mechanism::queueing) && work.sends == 0 && m_waiting.size() < limits::queueLimit
+        && now < work.queueUntil) {
         work.state = phase::waiting;
         m_waiting.push_back(id);
         return;
@@ -288,14 +289,16 @@
     if (m_waiting.empty()) {
         return;
     }
-    // By priority, and in order of arrival within a priority.
-    std::stable_sort(m_waiting.begin(), m_waiting.end(), [this](exchange_id a, exchange_id b) {
-        const auto first = m_exchanges.find(a);
-        const auto second = m_exchanges.find(b);
-        const int firstPriority = first == m_exchanges.end() ? -1 : first->second.priority;
-        const int secondPriority = second == m_exchanges.end() ? -1 : second->second.priority;
-        return firstPriority < secondPriority;
-    });
+    if (m_options.mechanisms.has(mechanism::queueOrder)) {
+        // By priority, and in order of arrival within a priority.
+        std::stable_sort(m_waiting.begin(), m_waiting.end(), [this](exchange_id a, exchange_id b) {
+            const auto first = m_exchanges.find(a);
+            const auto second = m_exchanges.find(b);
+            const int firstPriority = first == m_exchanges.end() ? -1 : first->second.priority;
+            const int secondPriority = second == m_exchanges.end() ? -1 : second->second.priority;
+            return firstPriority < secondPriority;
+        });
+    }
     std::deque<exchange_id> remaining;
     for (const exchange_id id : m_waiting) {
         const auto found = m_exchanges.find(id);
@@ -452,7 +455,7 @@
     log_line line = attemptLogLine(now, work);
     effects.push_back(record(log_event::streamBroken, line));
     endAttempt(now, work, attempt_result::lost);
-    if (work.route->isResumable && mayRetry(now, work, effects)) {
+    if (m_options.mechanisms.has(mechanism::streamResumption) && work.route->isResumable && mayRetry(now, work, effects)) {
         work.isResume = true;
         work.state = phase::waiting;
         if (place(now, input.exchange, work, effects)) {
@@ -520,7 +523,7 @@
 
 void entry_core::queryCaches(time_point now, std::vector<effect> &effects)
 {
-    if (!m_options.queriesCaches || !m_rules || m_upstreams.size() == 0) {
+    if (!m_options.queriesCaches || !m_options.mechanisms.has(mechanism::cacheQueries) || !m_rules || m_upstreams.size() == 0) {
         return;
     }
     // First wait for other live routers, which know more than the engines' lists.
@@ -613,7 +616,8 @@
     work.wasOverdue = true;
     log_line line = attemptLogLine(now, work);
     effects.push_back(record(log_event::attemptOverdue, line));
-    if (!work.route->mayRepeat() || !mayRetry(now, work, effects)) {
+    const bool mayResend = m_options.mechanisms.has(mechanism::overdueResend) && work.route->mayRepeat();
+    if (!mayResend || !mayRetry(now, work, effects)) {
         m_upstreams.recordResult(work.upstream, attempt_result::overdue, now);
         return;
     }
--- a/src/limits.h
+++ b/src/limits.h
@@ -116,6 +116,7 @@
 inline constexpr double engineStepMsPerRequest = 2.0; // delay of the first event per running request
 inline constexpr double fetchCostMsPerToken = 0.02; // load that fetching cached tokens puts on others, as delay of this request
 inline constexpr std::uint64_t minFetchTokens = 256; // a shorter prefix is prefilled sooner than fetched
+inline constexpr unsigned preferredEngines = 2; // per context, by hash; two, so that the load decides between them
 // Added to the score of an engine that is not preferred for an affinity key, if no engine has all shared parts cached.
 inline constexpr double nonPreferredPenaltyMs = 20;
 inline constexpr duration loadUpdateLifetime = 1500ms; // of another router's load update; covers the loss of a few updates
@@ -155,6 +156,7 @@
 inline constexpr duration verifyTimeout = 400ms; // wait for an update of another router after a pause; then the known state is used
 inline constexpr double overdueTargetShare = 0.6; // of its target after which an idempotent request is sent to another upstream
 inline constexpr double overdueStreamTargets = 2.0; // targets without a first event that count as a failure of the upstream
+inline constexpr int neutralPriority = 5; // what an engine assumes for a request without a priority
 inline constexpr duration minAttemptTime = 20ms; // a request with less time left cannot be answered
 
 // Watching the platform's objects, and gossip between routers.
--- /dev/null
+++ b/src/placement_score.cpp
@@ -0,0 +1,39 @@
+#include "placement_score.h"
+
+#include "limits.h"
+
+#include <algorithm>
+
+namespace nutmegtally::detail
+{
+
+score_terms scoreEngine(const engine_option &option, const mechanism_set &mechanisms)
+{
+    const std::uint64_t fetched = option.fetchableTokens > option.cachedTokens ? option.fetchableTokens - option.cachedTokens : 0;
+    const std::uint64_t known = std::max(option.cachedTokens, option.fetchableTokens);
+    const std::uint64_t prefill = option.promptTokens - std::min(option.promptTokens, known);
+    score_terms terms;
+    terms.prefill = static_cast<double>(prefill + option.pendingTokens) / limits::assumedPrefillTokensPerMs;
+    terms.fetch = static_cast<double>(std::min(fetched, option.sharedTokens)) * limits::fetchCostMsPerToken;
+    // All routers compute the same preference, so they agree on where a new context goes before they know of each other's choice.
+    // A cached start that all prompts share does not change that: the few engines that cache it first would get every new context.
+    const bool isNewContext = option.fetchableTokens < option.sharedTokens;
+    if (isNewContext && option.preference >= limits::preferredEngines && mechanisms.has(mechanism::preferredEngines)) {
+        terms.notPreferred = limits::nonPreferredPenaltyMs;
+    }
+    terms.load = option.load * limits::engineStepMsPerRequest;
+    terms.memory = 1000.0 * std::max(0.0, option.memoryUse - limits::engineFillLimit);
+    return terms;
+}
+
+score_terms scoreService(double load, unsigned slots)
+{
+    const double capacity = std::max(1U, slots);
+    // A request beyond the slots waits until another one ends.
+    const double waiting = std::max(0.0, load + 1 - capacity);
+    score_terms terms;
+    terms.load = 10.0 * load / capacity + 60.0 * waiting / capacity;
+    return terms;
+}
+
+} // namespace nutmegtally::detail
--- /dev/null
+++ b/src/placement_score.h
@@ -0,0 +1,47 @@
+// Score of an upstream for a request: the delay until the first event that is expected there, with penalties, as a sum of
+// named terms in milliseconds. Pure functions; upstream_set collects what they need.
+#pragma once
+
+#include <nutmegtally/mechanism.h>
+
+#include <cstdint>
+
+namespace nutmegtally::detail
+{
+
+/// An engine and a prompt, as far as the score depends on them.
+struct engine_option {
+    std::uint64_t promptTokens = 0;
+    std::uint64_t sharedTokens = 0; // of the prompt, in parts that other requests share
+    std::uint64_t cachedTokens = 0; // of the prompt, that this engine has cached
+    std::uint64_t fetchableTokens = 0; // of the prompt, that the best engine to fetch from has cached
+    std::uint64_t pendingTokens = 0; // that the engine has to prefill for other requests
+    double load = 0; // requests at the engine
+    double memoryUse = 0; // expected occupied share of its token memory with this request
+    unsigned preference = 0; // 0 for the first engine by the hash of the prompt's context, and so on
+};
+
+/// Terms of a score, in milliseconds of expected delay.
+struct score_terms {
+    double prefill = 0; // of this prompt, after what is already waiting
+    double fetch = 0; // of cached parts from another engine
+    double notPreferred = 0;
+    double load = 0;
+    double memory = 0;
+    double crossDomain = 0;
+    double failures = 0;
+
+    double total() const
+    {
+        return prefill + fetch + notPreferred + load + memory + crossDomain + failures;
+    }
+};
+
+/// Terms that depend on the engine and the prompt.
+score_terms scoreEngine(const engine_option &option, const mechanism_set &mechanisms);
+
+/// Load term of an upstream that is not an engine.
+/// @param load Requests there.
+score_terms scoreService(double load, unsigned slots);
+
+} // namespace nutmegtally::detail
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -1,4 +1,5 @@
 #include "limits.h"
+#include "placement_score.h"
 
 #include <nutmegtally/ids.h>
 #include <nutmegtally/router_rank.h>
@@ -60,8 +61,9 @@
 
 } // namespace
 
-upstream_set::upstream_set(std::string ownDomain)
+upstream_set::upstream_set(std::string ownDomain, mechanism_set mechanisms)
     : m_ownDomain(std::move(ownDomain))
+    , m_mechanisms(mechanisms)
 {
 }
 
@@ -155,7 +157,7 @@
         fromPeers += now - usage.receivedAt < limits::loadUpdateLifetime ? usage.inFlight : 0;
     }
     double stated = 0;
-    if (upstream.hasReport && now - upstream.reportedAt < limits::reportLifetime) {
+    if (m_mechanisms.has(mechanism::reportedLoad) && upstream.hasReport && now - upstream.reportedAt < limits::reportLifetime) {
         const double total = upstream.reported.running + upstream.reported.waiting;
         stated = std::max(0.0, total - upstream.inFlightAtReport) * halved(now - upstream.reportedAt, limits::reportHalfLife);
     }
@@ -197,7 +199,7 @@
 
 void upstream_set::applyUpdate(const load_update &update, bool isCounted, time_point now)
 {
-    if (isCounted) {
+    if (isCounted && m_mechanisms.has(mechanism::peerLoad)) {
         applyUsage(update, now);
     }
     for (const leaving_upstream &leaving : update.leaving) {
@@ -414,49 +416,30 @@
     return upstream.coldBucket >= 1.0;
 }
 
-double upstream_set::scoreEngine(const candidate &option, const placement_query &request, const service_rule &rule,
-                                 const prompt_cache_view &prompt, placement &details, time_point now) const
+detail::score_terms upstream_set::scoreEngine(const candidate &option, const prompt_parts &parts, const service_rule &rule,
+                                              const prompt_cache_view &prompt, placement &details, time_point now) const
 {
     const upstream_entry &upstream = *option.state;
-    const prompt_parts &parts = *request.parts;
-    const std::uint64_t total = totalTokens(parts);
-    const std::uint64_t own = parts.empty() ? 0 : parts.back().tokens;
     const auto found = std::lower_bound(prompt.matches.begin(), prompt.matches.end(), upstream.number,
                                         [](const prefix_match &match, upstream_number number) { return match.upstream < number; });
-    const std::uint64_t cached = found != prompt.matches.end() && found->upstream == upstream.number ? found->tokens : 0;
-    details.cachedTokens = cached;
-    details.fetchTokens = prompt.kvTokens;
-    details.prefillTokens = total - std::min(total, cached);
-    // Shared parts that another engine has cached are fetched from there; the rest is prefilled.
-    const std::uint64_t shared = total - std::min(total, own);
-    const std::uint64_t fetched = prompt.kvTokens > cached ? prompt.kvTokens - cached : 0;
-    const std::uint64_t known = std::max(cached, prompt.kvTokens);
-    const std::uint64_t prefill = total - std::min(total, known);
-    double score = static_cast<double>(prefill + pendingPrefillTokens(upstream, now)) / limits::assumedPrefillTokensPerMs;
-    score += static_cast<double>(std::min(fetched, shared)) * limits::fetchCostMsPerToken;
-    const bool isPreferred = std::find(prompt.preferred.begin(), prompt.preferred.end(), &upstream) != prompt.preferred.end();
-    // All routers compute the same preferred engines, so they agree on where a new context goes before they know of each other's
-    // choice. A cached start that all prompts share does not change that: the few engines that cache it first would get every new
-    // context.
-    if (prompt.kvTokens < shared && !isPreferred) {
-        score += limits::nonPreferredPenaltyMs;
-    }
-    score += option.load * limits::engineStepMsPerRequest;
+    detail::engine_option engine;
+    engine.promptTokens = totalTokens(parts);
+    engine.sharedTokens = engine.promptTokens - (parts.empty() ? 0 : parts.back().tokens);
+    engine.cachedTokens = found != prompt.matches.end() && found->upstream == upstream.number ? found->tokens : 0;
+    engine.fetchableTokens = prompt.kvTokens;
+    engine.pendingTokens = pendingPrefillTokens(upstream, now);
+    engine.load = option.load;
+    const auto preferred = std::find(prompt.preferred.begin(), prompt.preferred.end(), &upstream);
+    engine.preference = static_cast<unsigned>(preferred - prompt.preferred.begin());
     if (rule.cacheTokens > 0 && upstream.inFlight > 0) {
         // Estimates the memory of all routers' requests from this router's own and its share of the load.
         const double occupied = static_cast<double>(upstream.kvTokens) * std::max(1.0, option.load / upstream.inFlight);
-        const double over = (occupied + static_cast<double>(total)) / static_cast<double>(rule.cacheTokens) - limits::engineFillLimit;
-        score += over > 0 ? 1000.0 * over : 0;
+        engine.memoryUse = (occupied + static_cast<double>(engine.promptTokens)) / static_cast<double>(rule.cacheTokens);
     }
-    return score;
-}
-
-double upstream_set::scoreService(const candidate &option)
-{
-    const double slots = std::max(1U, option.state->record.slots);
-    // A request beyond the slots waits until another one ends.
-    const double waiting = std::max(0.0, option.load + 1 - slots);
-    return 10.0 * option.load / slots + 60.0 * waiting / slots;
+    details.cachedTokens = engine.cachedTokens;
+    details.fetchTokens = prompt.kvTokens;
+    details.prefillTokens = engine.promptTokens - std::min(engine.promptTokens, engine.cachedTokens);
+    return detail::scoreEngine(engine, m_mechanisms);
 }
 
 const std::vector<upstream_entry *> &upstream_set::ofService(std::string_view service)
@@ -498,18 +481,20 @@
                                                               time_point now) const
 {
     prompt_cache_view view;
-    view.matches = m_prefixes.matches(parts, now);
+    if (m_mechanisms.has(mechanism::cachedPrefix)) {
+        view.matches = m_prefixes.matches(parts, now);
+    }
     for (const prefix_match &match : view.matches) {
         const upstream_entry *state = find(match.upstream);
         // A leaving engine still serves fetches; one that failed recently may not.
         const bool answers = state != nullptr && now >= state->ejectedUntil && !state->isMissing && state->consecutiveFailures == 0;
-        if (answers && match.tokens > view.kvTokens) {
+        if (answers && m_mechanisms.has(mechanism::prefixFetch) && match.tokens > view.kvTokens) {
             view.kvTokens = match.tokens;
             view.holder = state;
         }
     }
     const std::uint64_t affinityKey = affinityKeyOf(parts);
-    std::array<std::uint64_t, preferredCount> ranks {};
+    std::array<std::uint64_t, 2> ranks {};
     for (const candidate &each : eligible) {
         if (now < each.state->ejectedUntil) {
             continue;
@@ -544,7 +529,8 @@
     const bool isEngine = request.parts != nullptr && rule->engineSlots > 0;
     const prompt_cache_view prompt = isEngine ? viewPromptCache(eligible, *request.parts, now) : prompt_cache_view {};
     const double count = static_cast<double>(eligible.size());
-    const double loadBound = limits::loadOverMean * totalLoad / count + limits::loadOverMeanSlack;
+    const double loadBound = m_mechanisms.has(mechanism::loadBound) ? limits::loadOverMean * totalLoad / count + limits::loadOverMeanSlack
+                                                                    : std::numeric_limits<double>::infinity();
     const bool anyUsable
         = std::any_of(eligible.begin(), eligible.end(), [now](const candidate &each) { return now >= each.state->ejectedUntil; });
     // Each request in flight uses a connection of its own; other routers and idle connections use the rest.
@@ -557,7 +543,8 @@
     double bestTie = 0;
     // Routers with the same load updates would all choose the same best engine. A random part of the score spreads them, as large
     // as the load that they may have placed without reporting it yet.
-    const double spreadMs = isEngine ? limits::unreportedPrefillSpread * unreportedPrefillMs(eligible.size(), now) : 0;
+    const bool spreads = isEngine && m_mechanisms.has(mechanism::randomSpread);
+    const double spreadMs = spreads ? limits::unreportedPrefillSpread * unreportedPrefillMs(eligible.size(), now) : 0;
     for (const candidate &each : eligible) {
         upstream_entry &state = *each.state;
         const double slots = std::max(1U, state.record.slots);
@@ -576,13 +563,18 @@
         }
         placement option;
         option.upstream = state.number;
-        double score = isEngine ? scoreEngine(each, request, *rule, prompt, option, now) : scoreService(each);
-        score += state.record.domain == m_ownDomain ? 0 : limits::crossDomainMs;
-        score += limits::failurePenaltyMs * std::max(0.0, state.failureRate - totalFailures / count);
+        detail::score_terms terms = isEngine ? scoreEngine(each, *request.parts, *rule, prompt, option, now)
+                                             : detail::scoreService(each.load, state.record.slots);
+        if (m_mechanisms.has(mechanism::crossDomainPenalty) && state.record.domain != m_ownDomain) {
+            terms.crossDomain = limits::crossDomainMs;
+        }
+        if (m_mechanisms.has(mechanism::failurePenalty)) {
+            terms.failures = limits::failurePenaltyMs * std::max(0.0, state.failureRate - totalFailures / count);
+        }
         option.load = each.load;
         option.loadAge = state.hasReport ? now - state.reportedAt : duration(0);
         const double tie = static_cast<double>(mixHash(request.tieBreak, state.number) >> 11) / static_cast<double>(1ULL << 53);
-        score -= tie * spreadMs;
+        const double score = terms.total() - tie * spreadMs;
         option.score = score;
         const bool better
             = best.upstream == noUpstreamNumber || score < best.score - 0.001 || (score < best.score + 0.001 && tie > bestTie);
@@ -643,7 +635,8 @@
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         shared.push_back(parts[i].id);
     }
-    if (std::vector<std::uint64_t> toAnnounce = m_prefixes.recordUse(shared, number, now); !toAnnounce.empty()) {
+    std::vector<std::uint64_t> toAnnounce = m_prefixes.recordUse(shared, number, now);
+    if (!toAnnounce.empty() && m_mechanisms.has(mechanism::promptAnnouncements)) {
         append(m_outgoingPrompts, {state->hash, std::move(toAnnounce)});
     }
 }
@@ -714,6 +707,9 @@
     case attempt_result::unreachable:
     case attempt_result::lost:
     case attempt_result::overdue: {
+        if (!m_mechanisms.has(mechanism::ejection)) {
+            break;
+        }
         const bool repeated = ++state->consecutiveFailures > 1;
         if (result == attempt_result::unreachable || repeated) {
             const unsigned doublings = std::min(state->consecutiveFailures - 1, 6U);
@@ -740,10 +736,4 @@
     return instance == m_instanceOf.end() ? nullptr : &m_upstreams.at(instance->second);
 }
 
-bool upstream_set::mayUse(upstream_number number) const
-{
-    const upstream_entry *state = find(number);
-    return state != nullptr && isEligible(*state);
-}
-
 } // namespace nutmegtally
