After the loss of all routers, engines are asked for their caches before prompts are placed

Ruled out: lists of other routers that are alive (they come with the first sync, 10 ms after the start of a single router, and hold all). Change: the wait for other routers is 50 ms; a fleet of up to 24 engines is asked whole by a router that knows no cache; prompts wait until the answers are in, at most 0.15 of their target and 0.2 s after the question. cache_recovery holds these phases; a router offers its map to others only after them.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <nutmegtally/attempt_failure.h>
+#include <nutmegtally/cache_recovery.h>
 #include <nutmegtally/log_events.h>
 #include <nutmegtally/log_line.h>
 #include <nutmegtally/reducer.h>
@@ -159,6 +160,11 @@
     answer_summary answer;
 };
 
+/// An engine did not list its cached parts.
+struct held_parts_unread {
+    std::string instance;
+};
+
 struct attempt_failed {
     exchange_id exchange = 0;
     attempt_failure failure = attempt_failure::lost;
@@ -248,9 +254,9 @@
     using event = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
                                entry_event::closures_changed, entry_event::routers_changed, entry_event::role_changed,
                                entry_event::request_received, entry_event::caller_left, entry_event::load_update_received,
-                               entry_event::prompt_locations_received, entry_event::held_parts_read, entry_event::answer_received,
-                               entry_event::attempt_failed, entry_event::stream_broken, entry_event::answer_finished,
-                               entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
+                               entry_event::prompt_locations_received, entry_event::held_parts_read, entry_event::held_parts_unread,
+                               entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken,
+                               entry_event::answer_finished, entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
     using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer,
                                 entry_effect::list_held_parts, entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
 
@@ -275,9 +281,9 @@
     }
 
     /// False while this router knows only the cached prompts of its own requests since its start.
-    bool hasCacheState() const
+    bool hasCacheState(time_point now) const
     {
-        return !m_options.queriesCaches;
+        return m_cacheRecovery.isOver(now);
     }
 
     /// As upstream_set::takePrompts().
@@ -337,6 +343,7 @@
     void on(time_point now, const entry_event::load_update_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::prompt_locations_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::held_parts_read &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::held_parts_unread &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::attempt_failed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects);
@@ -347,6 +354,8 @@
 
     log_line attemptLogLine(time_point now, const exchange &work) const;
     void queryCaches(time_point now, std::vector<effect> &effects);
+    /// True if a request with a prompt had better wait until it is known which engines have it cached.
+    bool awaitsCacheState(time_point now, const exchange &work) const;
     bool place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeWaiting(time_point now, std::vector<effect> &effects);
@@ -371,7 +380,7 @@
     std::optional<time_point> m_drainingSince;
     std::optional<time_point> m_lastEventAt; // a long gap means that the process was paused, as ticks are frequent
     std::optional<time_point> m_unverifiedUntil; // after a pause of the process: upstreams may have left, keys may be revoked
-    std::optional<time_point> m_cacheQueryAt; // when engines are asked for their cached parts
+    cache_recovery m_cacheRecovery;
 };
 
 } // namespace nutmegtally
--- a/include/nutmegtally/mechanism.h
+++ b/include/nutmegtally/mechanism.h
@@ -85,7 +85,7 @@
     std::string names;
     for (std::size_t i = 0; i < mechanismNames.size(); ++i) {
         if (!mechanisms.has(static_cast<mechanism>(i))) {
-            names += (names.empty() ? "" : ",") + std::string(mechanismNames[i]);
+            names.append(names.empty() ? "" : ",").append(mechanismNames[i]);
         }
     }
     return names;
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -68,11 +68,12 @@
     allTried, // the request was already sent to every eligible upstream
     allPaused, // those with room asked for a pause
     unverified, // the process was paused, and its state is not verified yet
+    cachesUnknown, // the process has just started, and engines have not told yet what they have cached
     count
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(placement_outcome::count)> placementOutcomeNames = {
-    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused", "unverified",
+    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused", "unverified", "caches_unknown",
 };
 
 constexpr std::string_view nameOf(placement_outcome outcome)
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -272,6 +272,7 @@
             log_line line;
             line.with("upstream", instance).with("status", result.status).with("why", result.failure);
             carryOut(log_record {log_event::heldPartsUnread, line.take()});
+            m_serving.post(entry_event::held_parts_unread {instance});
             return;
         }
         try {
@@ -286,6 +287,7 @@
             log_line line;
             line.with("upstream", instance).with("status", result.status).with("why", fault.what());
             carryOut(log_record {log_event::heldPartsUnread, line.take()});
+            m_serving.post(entry_event::held_parts_unread {instance});
         }
     });
 }
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -190,7 +190,7 @@
                                           syncRequest.routers});
     gossip_message answer = ownMessage();
     // A router that has just started itself knows only the prompts of its last seconds, so it sends none.
-    if (syncRequest.wantsPrompts && m_serving.entryCore().hasCacheState()) {
+    if (syncRequest.wantsPrompts && m_serving.entryCore().hasCacheState(now())) {
         answer.prompts = m_serving.entryCore().upstreams().knownPrompts(now());
     }
     std::vector<std::string> parts {compressMessage(encodeGossipMessage(answer))};
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -73,6 +73,7 @@
 entry_core::entry_core(entry_options options)
     : m_options(std::move(options))
     , m_upstreams(m_options.domain, m_options.mechanisms)
+    , m_cacheRecovery(m_options.queriesCaches && m_options.mechanisms.has(mechanism::cacheQueries))
 {
     m_upstreams.setRouters(m_options.name, {});
 }
@@ -190,6 +191,7 @@
     work.service = serviceFor(*work.route, input.request.requestId);
     work.queueUntil = std::min(work.timeoutAt - limits::minAttemptTime, now + scaled(work.route->target, limits::queueTargetShare));
     m_retryBudgets[work.service].addRequest(now);
+    queryCaches(now, effects);
     placeOrWait(now, input.exchange, work, effects);
 }
 
@@ -199,6 +201,10 @@
         work.lastPlacement = placement_outcome::unverified;
         return false;
     }
+    if (awaitsCacheState(now, work)) {
+        work.lastPlacement = placement_outcome::cachesUnknown;
+        return false;
+    }
     static const prompt_parts noParts;
     const prompt_parts &parts = work.route->carriesPrompt ? work.request.parts : noParts;
     placement_query wanted;
@@ -268,7 +274,7 @@
         return;
     }
     const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
-                       || work.lastPlacement == placement_outcome::unverified
+                       || work.lastPlacement == placement_outcome::unverified || work.lastPlacement == placement_outcome::cachesUnknown
                        || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.queueUntil);
     if (waits && m_options.mechanisms.has(mechanism::queueing) && work.sends == 0 && m_waiting.size() < limits::queueLimit
         && now < work.queueUntil) {
@@ -519,22 +525,37 @@
     line.with("upstream", input.instance).with("parts", input.parts.size());
     effects.push_back(record(log_event::heldPartsRead, line));
     m_upstreams.addHeldParts(input.instance, input.parts, now);
+    m_cacheRecovery.setAnswered(input.instance);
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::held_parts_unread &input, std::vector<effect> &effects)
+{
+    m_cacheRecovery.setAnswered(input.instance);
+    placeWaiting(now, effects);
 }
 
 void entry_core::queryCaches(time_point now, std::vector<effect> &effects)
 {
-    if (!m_options.queriesCaches || !m_options.mechanisms.has(mechanism::cacheQueries) || !m_rules || m_upstreams.size() == 0) {
+    if (!m_rules || m_upstreams.size() == 0) {
         return;
     }
-    // First wait for other live routers, which know more than the engines' lists.
-    m_cacheQueryAt = m_cacheQueryAt.value_or(now + limits::cacheQueryDelay);
-    if (now < *m_cacheQueryAt) {
+    m_cacheRecovery.begin(now);
+    if (!m_cacheRecovery.isQueryDue(now)) {
         return;
     }
-    m_options.queriesCaches = false;
+    std::vector<std::string> instances;
     for (const upstream_record &engine : m_upstreams.enginesToQuery(*m_rules)) {
         effects.push_back(entry_effect::list_held_parts {engine.instance, engine.address});
+        instances.push_back(engine.instance);
     }
+    m_cacheRecovery.setQueried(instances, now);
+}
+
+bool entry_core::awaitsCacheState(time_point now, const exchange &work) const
+{
+    return work.route->carriesPrompt && work.sends == 0 && !m_cacheRecovery.isOver(now)
+           && now - work.arrivedAt < scaled(work.route->target, limits::cacheWaitTargetShare);
 }
 
 void entry_core::detectPause(time_point now, std::vector<effect> &effects)
--- a/src/limits.h
+++ b/src/limits.h
@@ -109,6 +109,7 @@
 inline constexpr std::size_t maxPrefixParts = 4096; // prompt parts in a router's prefix map; about 300 KB
 inline constexpr std::size_t maxHoldersPerPart = 64; // engines stored for one part
 inline constexpr std::size_t maxCacheQueries = 8; // engines that one router asks for their cached parts after a start
+inline constexpr std::size_t smallFleetEngines = 24; // one router asks all of them: too few others may be up to ask the rest
 inline constexpr duration prefixLifetime = 30s; // engines under load evict unused parts within this time
 // A prompt part that stays in use at an engine is announced again after this time, well below prefixLifetime.
 inline constexpr duration prefixAnnounceInterval = 10s;
@@ -120,7 +121,9 @@
 // Added to the score of an engine that is not preferred for an affinity key, if no engine has all shared parts cached.
 inline constexpr double nonPreferredPenaltyMs = 20;
 inline constexpr duration loadUpdateLifetime = 1500ms; // of another router's load update; covers the loss of a few updates
-inline constexpr duration cacheQueryDelay = 700ms; // after the first list of upstreams, for other routers to send what they know
+inline constexpr duration cacheQueryDelay = 50ms; // after the first list of upstreams, for other routers to send what they know
+inline constexpr duration cacheAnswerTimeout = 200ms; // for the engines' answers; a busy engine delays them
+inline constexpr double cacheWaitTargetShare = 0.15; // of its target that a prompt waits until the engines' caches are known
 inline constexpr std::size_t promptsPerUpdate = 256; // four kilobytes, in addition to as much for the load
 inline constexpr std::size_t maxOutgoingPrompts = 2048; // waiting for a load update; further ones are dropped, which costs another prefill
 inline constexpr double crossDomainMs = 2.0; // round trip between failure domains of one region
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -277,9 +277,14 @@
 std::vector<upstream_record> upstream_set::enginesToQuery(const traffic_rules &rules) const
 {
     std::vector<std::pair<std::uint64_t, const upstream_entry *>> own;
+    std::size_t engineCount = 0;
     for (const auto &[instance, state] : m_upstreams) {
         const service_rule *rule = rules.service(state.record.service);
-        if (rule == nullptr || rule->engineSlots == 0 || m_cacheKnown.contains(state.number) || !isEligible(state)) {
+        if (rule == nullptr || rule->engineSlots == 0) {
+            continue;
+        }
+        ++engineCount;
+        if (m_cacheKnown.contains(state.number) || !isEligible(state)) {
             continue;
         }
         if (isAmongFirst(m_selfHash, m_routerHashes, state.hash, 1)) {
@@ -288,7 +293,9 @@
     }
     // The bound matters for a router that does not know the others yet: it would query all engines, and so would they.
     std::sort(own.begin(), own.end());
-    own.resize(std::min(own.size(), limits::maxCacheQueries));
+    if (engineCount > limits::smallFleetEngines) {
+        own.resize(std::min(own.size(), limits::maxCacheQueries));
+    }
     std::vector<upstream_record> engines;
     engines.reserve(own.size());
     for (const auto &[rank, state] : own) {
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -379,11 +379,14 @@
     start(1, 0);
     tickAt(10ms);
     request("brief", {{1, 500}, {2, 9000}, {3, 100}});
-    BOOST_TEST(sentTo() == "engine-0");
+    BOOST_TEST(sentTo() == "nobody"); // waits for the caches, not longer than a part of its target
+    BOOST_TEST(!core.hasCacheState(now));
     apply(entry_event::load_update_received {{"other", {}, {{hashText("engine-0"), {1, 2}}}}});
-    tickAt(900ms);
+    tickAt(60ms);
     BOOST_TEST(effect<entry_effect::list_held_parts>() != nullptr);
-    BOOST_TEST(core.hasCacheState());
+    tickAt(900ms);
+    BOOST_TEST(sentTo() == "engine-0");
+    BOOST_TEST(core.hasCacheState(now));
 }
 
 BOOST_AUTO_TEST_CASE(leavingInAnAnswer_upstream_getsNoRequestsWhateverTheListSays)
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -475,4 +475,61 @@
     BOOST_TEST(failed <= 20U); // each of the two is retried after 0.3, 0.6, 1.2 s ...
 }
 
+// Pattern: all routers are lost at once while engines keep their caches, and callers return at once. A router that places prompts
+// before it knows the caches makes engines prefill them again.
+BOOST_FIXTURE_TEST_CASE(allRoutersLost_callersReturnAtOnce_cachedContextsAreNotPrefilledAgain, entry_fixture)
+{
+    constexpr unsigned engines = 18;
+    constexpr std::uint64_t contexts = 36;
+    const auto holderOf = [](std::uint64_t context) { return "engine-" + std::to_string(context * 7 % engines); };
+    core = entry_core({"self", "domain", {}, true});
+    start(engines, 0);
+    unsigned placed = 0;
+    unsigned prefilledAgain = 0;
+    std::vector<entry_effect::list_held_parts> queries;
+    const auto collect = [&] {
+        for (const entry_core::effect &each : effects) {
+            if (const auto *attempt = std::get_if<entry_effect::start_attempt>(&each)) {
+                const std::uint64_t context = attempt->exchange - 1;
+                ++placed;
+                prefilledAgain += attempt->instance != holderOf(context) && attempt->fetchFrom != holderOf(context) + ":1" ? 1 : 0;
+            } else if (const auto *query = std::get_if<entry_effect::list_held_parts>(&each)) {
+                queries.push_back(*query);
+            }
+        }
+    };
+    for (std::uint64_t context = 0; context < contexts; ++context) {
+        request("brief", {{1, 500}, {1000 + context, 10'000}, {100'000 + context, 1300}});
+        collect();
+        tickAt(duration(2ms) * static_cast<int>(context + 1));
+        collect();
+    }
+    for (const entry_effect::list_held_parts &query : std::vector<entry_effect::list_held_parts>(queries)) {
+        std::vector<std::uint64_t> held;
+        for (std::uint64_t context = 0; context < contexts; ++context) {
+            if (holderOf(context) == query.instance) {
+                held.push_back(1000 + context);
+            }
+        }
+        apply(entry_event::held_parts_read {query.instance, held});
+        collect();
+    }
+    BOOST_TEST(queries.size() == engines);
+    BOOST_TEST(placed == contexts);
+    BOOST_TEST(prefilledAgain == 0U);
+}
+
+// Pattern: as before, but no engine answers. Nothing waits longer than a small part of its target.
+BOOST_FIXTURE_TEST_CASE(allRoutersLost_enginesDoNotAnswer_requestsWaitAPartOfTheirTarget, entry_fixture)
+{
+    core = entry_core({"self", "domain", {}, true});
+    start(4, 0);
+    request("brief", {{1, 500}, {2, 10'000}, {3, 1300}});
+    BOOST_TEST(sentTo() == "nobody");
+    tickAt(140ms);
+    BOOST_TEST(sentTo() == "nobody");
+    tickAt(160ms);
+    BOOST_TEST(sentTo() != "nobody");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
