--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -206,7 +206,7 @@
         std::vector<prompt_location> fromOtherDomains; // from other domains' leaders; to be relayed within this domain only
     };
 
-    /// Takes the prompts to announce since the last call, at most limits::promptsPerUpdate of each list.
+    /// Takes the prompts to announce since the last call, at most limits::partsPerUpdate parts of each list.
     outgoing_prompts takePrompts();
 
     /// Records the load that an upstream reported in an answer.
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -45,9 +45,15 @@
     }
 }
 
+/// Takes the first prompts, with at most limits::partsPerUpdate parts in all; the first one is taken whatever its size.
 std::vector<prompt_location> takeFirst(std::vector<prompt_location> &list)
 {
-    const auto end = list.begin() + static_cast<std::ptrdiff_t>(std::min(list.size(), limits::promptsPerUpdate));
+    std::size_t parts = 0;
+    auto end = list.begin();
+    while (end != list.end() && (end == list.begin() || parts + end->parts.size() <= limits::partsPerUpdate)) {
+        parts += end->parts.size();
+        ++end;
+    }
     std::vector<prompt_location> taken(std::make_move_iterator(list.begin()), std::make_move_iterator(end));
     list.erase(list.begin(), end);
     return taken;
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <random>
 
 namespace
@@ -519,6 +520,32 @@
     BOOST_TEST(prefilledAgain == 0U);
 }
 
+// Pattern: engines list their whole caches at once, much longer than the prompts of one update interval. Announcements are split so
+// that each still fits in a datagram.
+BOOST_AUTO_TEST_CASE(enginesListTheirCaches_manyParts_announcementsAreSplit)
+{
+    constexpr unsigned lists = 100;
+    constexpr std::uint64_t partsPerList = 300;
+    constexpr std::size_t maxPartsAtOnce = 600; // six kilobytes
+    upstream_set router("domain");
+    router.setRouters("self", {"self", "other"});
+    std::size_t announced = 0;
+    for (unsigned i = 0; i < lists; ++i) {
+        std::vector<std::uint64_t> parts(partsPerList);
+        std::iota(parts.begin(), parts.end(), i * partsPerList);
+        router.addHeldParts("engine-" + std::to_string(i), parts, time_point(1s));
+    }
+    for (unsigned update = 0; update < lists; ++update) {
+        std::size_t inUpdate = 0;
+        for (const prompt_location &location : router.takePrompts().fromOwnDomain) {
+            inUpdate += location.parts.size();
+        }
+        BOOST_TEST(inUpdate <= maxPartsAtOnce);
+        announced += inUpdate;
+    }
+    BOOST_TEST(announced == lists * partsPerList);
+}
+
 // Pattern: as before, but no engine answers. Nothing waits longer than a small part of its target.
 BOOST_FIXTURE_TEST_CASE(allRoutersLost_enginesDoNotAnswer_requestsWaitAPartOfTheirTarget, entry_fixture)
 {
