Every router of a small fleet asks all engines for their caches; lists are announced after prompts

Lists of 200 parts also delayed the announcements of new contexts behind them. Change: up to 24 engines, each router asks all and announces nothing; in larger fleets lists are sent after prompts. attempt_started logs the context, by which this was found.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -381,6 +381,7 @@
     std::optional<time_point> m_lastEventAt; // a long gap means that the process was paused, as ticks are frequent
     std::optional<time_point> m_unverifiedUntil; // after a pause of the process: upstreams may have left, keys may be revoked
     cache_recovery m_cacheRecovery;
+    bool m_announcesHeldParts = false; // other routers do not ask the same engines
 };
 
 } // namespace nutmegtally
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -222,11 +222,19 @@
     /// Adds cached parts that another router reported.
     void addPromptLocations(const std::vector<prompt_location> &prompts, time_point now);
 
-    /// Adds the cached parts that an engine listed, and announces them to other routers.
-    void addHeldParts(const std::string &instance, std::vector<std::uint64_t> parts, time_point now);
+    /// Adds the cached parts that an engine listed.
+    /// @param announces Whether other routers are told; false if they ask the engine themselves.
+    void addHeldParts(const std::string &instance, std::vector<std::uint64_t> parts, bool announces, time_point now);
+
+    /// Engines to ask for their cached parts.
+    struct cache_query {
+        std::vector<upstream_record> engines;
+        bool asksAll = false; // every router asks all engines of a small fleet, so the answers are not announced
+    };
 
-    /// Engines whose cached parts this router should query: no router reported any, and the query is this router's duty.
-    std::vector<upstream_record> enginesToQuery(const traffic_rules &rules) const;
+    /// Engines whose cached parts this router should query: no router reported any, and, in a large fleet, the query is this
+    /// router's duty.
+    cache_query enginesToQuery(const traffic_rules &rules) const;
 
     /// Records that an upstream announced that it is leaving. @return True if that is new.
     bool markLeaving(upstream_number number, time_point now);
@@ -315,6 +323,7 @@
 
     std::unordered_map<std::uint32_t, last_update> m_lastUpdates;
     std::vector<prompt_location> m_outgoingPrompts; // prompts sent by routers of this domain, for other routers
+    std::vector<prompt_location> m_outgoingLists; // whole lists of engines; sent after the prompts, which are about new contexts
     std::vector<prompt_location> m_outgoingRemotePrompts; // prompts of other domains, for the routers of this one
     bool m_isLeader = true; // until other routers are known, as in leader_election
     std::unordered_set<upstream_number> m_cacheKnown; // engines whose cached parts another router or they themselves listed
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -255,6 +255,7 @@
         .with("load", choice.load)
         .with("load_age_ms", choice.loadAge)
         .with("candidates", choice.candidates)
+        .with("context", affinityKeyOf(parts))
         .with("cached_tokens", choice.cachedTokens)
         .with("fetch_tokens", choice.fetchTokens)
         .with("prompt_tokens", work.request.promptTokens)
@@ -524,7 +525,7 @@
     log_line line;
     line.with("upstream", input.instance).with("parts", input.parts.size());
     effects.push_back(record(log_event::heldPartsRead, line));
-    m_upstreams.addHeldParts(input.instance, input.parts, now);
+    m_upstreams.addHeldParts(input.instance, input.parts, m_announcesHeldParts, now);
     m_cacheRecovery.setAnswered(input.instance);
     placeWaiting(now, effects);
 }
@@ -544,8 +545,10 @@
     if (!m_cacheRecovery.isQueryDue(now)) {
         return;
     }
+    const upstream_set::cache_query query = m_upstreams.enginesToQuery(*m_rules);
+    m_announcesHeldParts = !query.asksAll;
     std::vector<std::string> instances;
-    for (const upstream_record &engine : m_upstreams.enginesToQuery(*m_rules)) {
+    for (const upstream_record &engine : query.engines) {
         effects.push_back(entry_effect::list_held_parts {engine.instance, engine.address});
         instances.push_back(engine.instance);
     }
--- a/src/limits.h
+++ b/src/limits.h
@@ -109,7 +109,7 @@
 inline constexpr std::size_t maxPrefixParts = 4096; // prompt parts in a router's prefix map; about 300 KB
 inline constexpr std::size_t maxHoldersPerPart = 64; // engines stored for one part
 inline constexpr std::size_t maxCacheQueries = 8; // engines that one router asks for their cached parts after a start
-inline constexpr std::size_t smallFleetEngines = 24; // one router asks all of them: too few others may be up to ask the rest
+inline constexpr std::size_t smallFleetEngines = 24; // every router asks all of them itself: announcements would come too late
 inline constexpr duration prefixLifetime = 30s; // engines under load evict unused parts within this time
 // A prompt part that stays in use at an engine is announced again after this time, well below prefixLifetime.
 inline constexpr duration prefixAnnounceInterval = 10s;
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -45,18 +45,20 @@
     }
 }
 
-/// Takes the first prompts, with at most limits::partsPerUpdate parts in all; the first one is taken whatever its size.
-std::vector<prompt_location> takeFirst(std::vector<prompt_location> &list)
+/// Moves the first prompts of @p list to @p taken, which then has at most limits::partsPerUpdate parts, or a single prompt.
+void takeFirst(std::vector<prompt_location> &list, std::vector<prompt_location> &taken)
 {
     std::size_t parts = 0;
+    for (const prompt_location &prompt : taken) {
+        parts += prompt.parts.size();
+    }
     auto end = list.begin();
-    while (end != list.end() && (end == list.begin() || parts + end->parts.size() <= limits::partsPerUpdate)) {
+    while (end != list.end() && ((taken.empty() && end == list.begin()) || parts + end->parts.size() <= limits::partsPerUpdate)) {
         parts += end->parts.size();
         ++end;
     }
-    std::vector<prompt_location> taken(std::make_move_iterator(list.begin()), std::make_move_iterator(end));
+    taken.insert(taken.end(), std::make_move_iterator(list.begin()), std::make_move_iterator(end));
     list.erase(list.begin(), end);
-    return taken;
 }
 
 /// Rendezvous hash of an upstream for an affinity key; the upstreams with the highest ranks are preferred.
@@ -249,11 +251,13 @@
     }
 }
 
-void upstream_set::addHeldParts(const std::string &instance, std::vector<std::uint64_t> parts, time_point now)
+void upstream_set::addHeldParts(const std::string &instance, std::vector<std::uint64_t> parts, bool announces, time_point now)
 {
     const prompt_location found {hashText(instance), std::move(parts)};
     addPromptLocations({found}, now);
-    append(m_outgoingPrompts, found);
+    if (announces) {
+        append(m_outgoingLists, found);
+    }
 }
 
 void upstream_set::setLeader(bool isLeader)
@@ -280,34 +284,34 @@
     return prompts;
 }
 
-std::vector<upstream_record> upstream_set::enginesToQuery(const traffic_rules &rules) const
+upstream_set::cache_query upstream_set::enginesToQuery(const traffic_rules &rules) const
 {
-    std::vector<std::pair<std::uint64_t, const upstream_entry *>> own;
     std::size_t engineCount = 0;
+    std::vector<const upstream_entry *> unknown;
     for (const auto &[instance, state] : m_upstreams) {
         const service_rule *rule = rules.service(state.record.service);
         if (rule == nullptr || rule->engineSlots == 0) {
             continue;
         }
         ++engineCount;
-        if (m_cacheKnown.contains(state.number) || !isEligible(state)) {
-            continue;
-        }
-        if (isAmongFirst(m_selfHash, m_routerHashes, state.hash, 1)) {
-            own.emplace_back(mixHash(m_selfHash, state.hash), &state);
+        if (!m_cacheKnown.contains(state.number) && isEligible(state)) {
+            unknown.push_back(&state);
         }
     }
-    // The bound matters for a router that does not know the others yet: it would query all engines, and so would they.
-    std::sort(own.begin(), own.end());
-    if (engineCount > limits::smallFleetEngines) {
-        own.resize(std::min(own.size(), limits::maxCacheQueries));
+    cache_query query;
+    query.asksAll = engineCount <= limits::smallFleetEngines;
+    if (!query.asksAll) {
+        std::erase_if(unknown, [this](const upstream_entry *state) { return !isAmongFirst(m_selfHash, m_routerHashes, state->hash, 1); });
+        // The bound matters for a router that does not know the others yet: it would query all engines, and so would they.
+        std::sort(unknown.begin(), unknown.end(), [this](const upstream_entry *a, const upstream_entry *b) {
+            return mixHash(m_selfHash, a->hash) < mixHash(m_selfHash, b->hash);
+        });
+        unknown.resize(std::min(unknown.size(), limits::maxCacheQueries));
     }
-    std::vector<upstream_record> engines;
-    engines.reserve(own.size());
-    for (const auto &[rank, state] : own) {
-        engines.push_back(state->record);
+    for (const upstream_entry *state : unknown) {
+        query.engines.push_back(state->record);
     }
-    return engines;
+    return query;
 }
 
 load_update upstream_set::ownLoad(time_point now) const
@@ -401,8 +405,9 @@
 upstream_set::outgoing_prompts upstream_set::takePrompts()
 {
     outgoing_prompts prompts;
-    prompts.fromOwnDomain = takeFirst(m_outgoingPrompts);
-    prompts.fromOtherDomains = takeFirst(m_outgoingRemotePrompts);
+    takeFirst(m_outgoingPrompts, prompts.fromOwnDomain);
+    takeFirst(m_outgoingLists, prompts.fromOwnDomain);
+    takeFirst(m_outgoingRemotePrompts, prompts.fromOtherDomains);
     return prompts;
 }
 
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -484,6 +484,7 @@
     constexpr std::uint64_t contexts = 36;
     const auto holderOf = [](std::uint64_t context) { return "engine-" + std::to_string(context * 7 % engines); };
     core = entry_core({"self", "domain", {}, true});
+    apply(entry_event::routers_changed {{"a", "b", "c", "self"}}); // as many others start at the same time
     start(engines, 0);
     unsigned placed = 0;
     unsigned prefilledAgain = 0;
@@ -533,7 +534,7 @@
     for (unsigned i = 0; i < lists; ++i) {
         std::vector<std::uint64_t> parts(partsPerList);
         std::iota(parts.begin(), parts.end(), i * partsPerList);
-        router.addHeldParts("engine-" + std::to_string(i), parts, time_point(1s));
+        router.addHeldParts("engine-" + std::to_string(i), parts, true, time_point(1s));
     }
     for (unsigned update = 0; update < lists; ++update) {
         std::size_t inUpdate = 0;
