Announcements of new contexts after 25 ms; lists of large parts are relayed before prompts are placed

Contexts that are new everywhere are announced once in 100 ms, and other routers prefill them meanwhile.

--- a/include/nutmegtally/cache_recovery.h
+++ b/include/nutmegtally/cache_recovery.h
@@ -27,12 +27,14 @@
     bool isQueryDue(time_point now) const;
 
     /// Records which engines were asked.
-    void setQueried(const std::vector<std::string> &instances, time_point now);
+    /// @param asksAll False if other routers ask the rest of the engines and announce the answers.
+    void setQueried(const std::vector<std::string> &instances, bool asksAll, time_point now);
 
     /// Records that an engine answered, or that it will not.
-    void setAnswered(const std::string &instance);
+    void setAnswered(const std::string &instance, time_point now);
 
-    /// True once all engines that were asked have answered, or some time after they were asked.
+    /// True once all engines that were asked have answered and other routers' announcements had time to arrive, or some time
+    /// after the question.
     bool isOver(time_point now) const;
 
 private:
@@ -40,11 +42,15 @@
         unstarted, // rules or upstreams are not known yet
         waitingForRouters,
         waitingForEngines,
+        waitingForAnnouncements,
         over,
     };
 
+    void endWaitForEngines(time_point now);
+
     phase m_phase;
-    time_point m_phaseEndsAt; // of both waits
+    time_point m_phaseEndsAt; // of the three waits
+    bool m_asksAll = false;
     std::unordered_set<std::string> m_unanswered; // engines that were asked
 };
 
--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -151,7 +151,7 @@
 /// An engine listed the prompt parts that it has cached.
 struct held_parts_read {
     std::string instance;
-    std::vector<std::uint64_t> parts;
+    prompt_parts parts;
 };
 
 /// A complete answer, or the head of a stream, was received.
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -206,6 +206,9 @@
         std::vector<prompt_location> fromOtherDomains; // from other domains' leaders; to be relayed within this domain only
     };
 
+    /// True if takePrompts() would return any.
+    bool hasPromptsToAnnounce() const;
+
     /// Takes the prompts to announce since the last call, at most limits::partsPerUpdate parts of each list.
     outgoing_prompts takePrompts();
 
@@ -224,7 +227,7 @@
 
     /// Adds the cached parts that an engine listed.
     /// @param announces Whether other routers are told; false if they ask the engine themselves.
-    void addHeldParts(const std::string &instance, std::vector<std::uint64_t> parts, bool announces, time_point now);
+    void addHeldParts(const std::string &instance, const prompt_parts &parts, bool announces, time_point now);
 
     /// Engines to ask for their cached parts.
     struct cache_query {
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -25,7 +25,6 @@
 constexpr duration watchTimeoutMargin = 1s; // time for the response to a watch beyond the wait itself
 constexpr duration upstreamsWatchDelay = 200ms; // batches changes: rollouts replace upstreams one by one, and calls are charged
 constexpr duration listTimeout = 1500ms; // for one page; a slow store takes some hundred milliseconds
-constexpr std::uint64_t minReportedPartTokens = 256; // smaller cached parts are not reported: prefill of them is short
 constexpr duration minReportedTickGap = 1s; // a longer gap means that the process was suspended or starved of CPU
 constexpr duration shutdownIdleTimeout = 1500ms; // closes callers' connections; a busier one gets "close" in its next answer
 constexpr duration shutdownMargin = 200ms; // the process exits this long before the platform would kill it
@@ -276,13 +275,7 @@
             return;
         }
         try {
-            std::vector<std::uint64_t> parts;
-            for (const platform::held_part &part : platform::decodeHeldParts(result.body)) {
-                if (part.tokens >= minReportedPartTokens) {
-                    parts.push_back(part.id);
-                }
-            }
-            m_serving.post(entry_event::held_parts_read {instance, std::move(parts)});
+            m_serving.post(entry_event::held_parts_read {instance, platform::decodeHeldParts(result.body)});
         } catch (const std::exception &fault) {
             log_line line;
             line.with("upstream", instance).with("status", result.status).with("why", fault.what());
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -102,6 +102,7 @@
 
     void listHeldParts(const entry_effect::list_held_parts &query);
     void sendHeartbeats();
+    void awaitHeartbeat(duration wait);
     void receiveHeartbeats();
     void sendHeartbeat(const router_endpoint &router, const router_heartbeat &heartbeat);
     void sendMemberHeartbeats(router_heartbeat heartbeat);
@@ -134,6 +135,7 @@
     std::array<char, 65536> m_receiveBuffer;
     std::size_t m_roundBytes = 0; // sent in the current round of heartbeats
     duration m_heartbeatInterval {0};
+    time_point m_nextHeartbeatAt; // at the latest; sooner if there are prompts to announce
     unsigned m_heartbeatRounds = 0; // rounds since the start of the process
     std::unique_ptr<listener> m_callerListener;
     std::unique_ptr<http_server> m_readyServer;
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -17,6 +17,8 @@
 
 constexpr duration syncTimeout = 800ms; // longest wait for the answer of another router
 constexpr duration minHeartbeatInterval = 100ms; // about as long as a request takes to its first event
+// The same while new prompts wait to be announced: until then, other routers may have the same context prefilled elsewhere.
+constexpr duration minAnnouncementInterval = 25ms;
 constexpr duration maxHeartbeatInterval = 1s; // load that is a second old still shows which upstreams are busy
 constexpr double heartbeatBytesPerSecond = 500'000; // budget of one leader; a fifth of a 20 Mbit/s link
 constexpr unsigned roundsPerLivenessReport = 5; // only every fifth round of heartbeats lists the live routers
@@ -283,11 +285,22 @@
     const auto pacedInterval
         = std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(m_roundBytes) / heartbeatBytesPerSecond));
     m_heartbeatInterval = std::clamp(pacedInterval, minHeartbeatInterval, maxHeartbeatInterval);
-    m_heartbeatTimer.expires_after(m_heartbeatInterval);
+    m_nextHeartbeatAt = now() + m_heartbeatInterval;
+    awaitHeartbeat(std::clamp(pacedInterval, minAnnouncementInterval, maxHeartbeatInterval));
+}
+
+void entry_daemon::awaitHeartbeat(duration wait)
+{
+    m_heartbeatTimer.expires_after(wait);
     m_heartbeatTimer.async_wait([this](const boost::system::error_code &fault) {
-        if (!fault && !m_stopped) {
+        if (fault || m_stopped) {
+            return;
+        }
+        if (now() >= m_nextHeartbeatAt || m_serving.entryCore().upstreams().hasPromptsToAnnounce()) {
             sendHeartbeats();
+            return;
         }
+        awaitHeartbeat(std::min(minAnnouncementInterval, m_nextHeartbeatAt - now()));
     });
 }
 
--- a/src/cache_recovery.cpp
+++ b/src/cache_recovery.cpp
@@ -23,24 +23,34 @@
     return m_phase == phase::waitingForRouters && now >= m_phaseEndsAt;
 }
 
-void cache_recovery::setQueried(const std::vector<std::string> &instances, time_point now)
+void cache_recovery::setQueried(const std::vector<std::string> &instances, bool asksAll, time_point now)
 {
-    m_phase = instances.empty() ? phase::over : phase::waitingForEngines;
+    m_asksAll = asksAll;
+    m_phase = phase::waitingForEngines;
     m_phaseEndsAt = now + limits::cacheAnswerTimeout;
     m_unanswered = {instances.begin(), instances.end()};
+    endWaitForEngines(now);
 }
 
-void cache_recovery::setAnswered(const std::string &instance)
+void cache_recovery::setAnswered(const std::string &instance, time_point now)
 {
     m_unanswered.erase(instance);
-    if (m_phase == phase::waitingForEngines && m_unanswered.empty()) {
-        m_phase = phase::over;
+    endWaitForEngines(now);
+}
+
+void cache_recovery::endWaitForEngines(time_point now)
+{
+    if (m_phase != phase::waitingForEngines || !m_unanswered.empty()) {
+        return;
     }
+    m_phase = m_asksAll ? phase::over : phase::waitingForAnnouncements;
+    m_phaseEndsAt = now + limits::cacheAnnouncementTime;
 }
 
 bool cache_recovery::isOver(time_point now) const
 {
-    return m_phase == phase::over || (m_phase == phase::waitingForEngines && now >= m_phaseEndsAt);
+    const bool isLastWait = m_phase == phase::waitingForEngines || m_phase == phase::waitingForAnnouncements;
+    return m_phase == phase::over || (isLastWait && now >= m_phaseEndsAt);
 }
 
 } // namespace nutmegtally
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -526,13 +526,13 @@
     line.with("upstream", input.instance).with("parts", input.parts.size());
     effects.push_back(record(log_event::heldPartsRead, line));
     m_upstreams.addHeldParts(input.instance, input.parts, m_announcesHeldParts, now);
-    m_cacheRecovery.setAnswered(input.instance);
+    m_cacheRecovery.setAnswered(input.instance, now);
     placeWaiting(now, effects);
 }
 
 void entry_core::on(time_point now, const entry_event::held_parts_unread &input, std::vector<effect> &effects)
 {
-    m_cacheRecovery.setAnswered(input.instance);
+    m_cacheRecovery.setAnswered(input.instance, now);
     placeWaiting(now, effects);
 }
 
@@ -552,7 +552,7 @@
         effects.push_back(entry_effect::list_held_parts {engine.instance, engine.address});
         instances.push_back(engine.instance);
     }
-    m_cacheRecovery.setQueried(instances, now);
+    m_cacheRecovery.setQueried(instances, query.asksAll, now);
 }
 
 bool entry_core::awaitsCacheState(time_point now, const exchange &work) const
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -251,12 +251,21 @@
     }
 }
 
-void upstream_set::addHeldParts(const std::string &instance, std::vector<std::uint64_t> parts, bool announces, time_point now)
+void upstream_set::addHeldParts(const std::string &instance, const prompt_parts &parts, bool announces, time_point now)
 {
-    const prompt_location found {hashText(instance), std::move(parts)};
-    addPromptLocations({found}, now);
-    if (announces) {
-        append(m_outgoingLists, found);
+    prompt_location held {hashText(instance), {}};
+    prompt_location announced = held;
+    for (const prompt_part &part : parts) {
+        if (part.tokens >= limits::minFetchTokens) {
+            held.parts.push_back(part.id);
+        }
+        if (part.tokens >= limits::minAnnouncedListTokens) {
+            announced.parts.push_back(part.id);
+        }
+    }
+    addPromptLocations({held}, now);
+    if (announces && !announced.parts.empty()) {
+        append(m_outgoingLists, std::move(announced));
     }
 }
 
@@ -402,6 +411,11 @@
     }));
 }
 
+bool upstream_set::hasPromptsToAnnounce() const
+{
+    return !m_outgoingPrompts.empty() || !m_outgoingLists.empty() || !m_outgoingRemotePrompts.empty();
+}
+
 upstream_set::outgoing_prompts upstream_set::takePrompts()
 {
     outgoing_prompts prompts;
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <numeric>
 #include <random>
 
 namespace
@@ -507,10 +506,10 @@
         collect();
     }
     for (const entry_effect::list_held_parts &query : std::vector<entry_effect::list_held_parts>(queries)) {
-        std::vector<std::uint64_t> held;
+        prompt_parts held;
         for (std::uint64_t context = 0; context < contexts; ++context) {
             if (holderOf(context) == query.instance) {
-                held.push_back(1000 + context);
+                held.push_back({1000 + context, 10'000});
             }
         }
         apply(entry_event::held_parts_read {query.instance, held});
@@ -532,8 +531,10 @@
     router.setRouters("self", {"self", "other"});
     std::size_t announced = 0;
     for (unsigned i = 0; i < lists; ++i) {
-        std::vector<std::uint64_t> parts(partsPerList);
-        std::iota(parts.begin(), parts.end(), i * partsPerList);
+        prompt_parts parts;
+        for (std::uint64_t part = 0; part < partsPerList; ++part) {
+            parts.push_back({i * partsPerList + part, 10'000});
+        }
         router.addHeldParts("engine-" + std::to_string(i), parts, true, time_point(1s));
     }
     for (unsigned update = 0; update < lists; ++update) {
