A router that joins a running system syncs five times a second for 1.5 s

Change: syncs every 200 ms for 1.5 s, each with the prompts that the other knows. The first start of a system syncs as before.

--- a/include/nutmegtally/router_gossip.h
+++ b/include/nutmegtally/router_gossip.h
@@ -30,6 +30,7 @@
     std::string address;
     std::string domain;
     std::vector<std::string> seeds; // addresses for the first syncs; may be stale or include this router's own
+    bool joinsRunningSystem = false; // engines have prompts cached, so that this router soon needs what others know
 };
 
 namespace gossip_event
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -63,7 +63,7 @@
 
 gossip_options gossipOptionsFrom(const entry_settings &settings)
 {
-    return {settings.name, settings.routersListen, settings.domain, settings.seeds};
+    return {settings.name, settings.routersListen, settings.domain, settings.seeds, !settings.isFirstStart};
 }
 
 local_answer plainAnswer(int status, std::string text)
@@ -93,6 +93,7 @@
     , m_heartbeatSocket(context)
     , m_heartbeatTimer(context)
     , m_lastTickAt(time_point(timeSinceBoot()))
+    , m_startedAt(m_lastTickAt)
     , m_wantsPrompts(!settings.isFirstStart)
 {
     log_line line;
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -143,7 +143,8 @@
     std::unique_ptr<http_server> m_metricsServer;
     std::optional<time_point> m_shutdownSince;
     time_point m_lastTickAt;
-    bool m_wantsPrompts; // no router has sent its prompt locations yet
+    time_point m_startedAt;
+    bool m_wantsPrompts; // no router that knows them all has sent its prompt locations yet
     bool m_wasReady = false;
     bool m_stopped = false;
     bool m_hasCutRequests = false;
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -147,7 +147,7 @@
     }
     const gossip_message message = decodeGossipMessage(decompressMessage(parts.front()));
     apply(gossip_event::message_received {message.name, message.address, message.loadAddress, message.domain, message.routers});
-    if (!message.prompts.empty()) {
+    if (!message.prompts.empty() && now() - m_startedAt >= limits::joinTime) {
         m_wantsPrompts = false;
     }
     for (std::size_t part = 1; part < parts.size(); ++part) {
--- a/src/limits.h
+++ b/src/limits.h
@@ -184,6 +184,9 @@
 inline constexpr duration discoveryTime = 10s; // after a start, while routers find each other
 inline constexpr unsigned anyRouterSyncEvery = 3; // of so many syncs one goes to any router, the others to leaders
 inline constexpr duration isolatedSyncInterval = 200ms; // while the object API does not answer, or no router is known
+// After a start: syncs as often, each with the cached prompts that the other knows. When all routers start together, the first
+// answers come from routers that have just started themselves.
+inline constexpr duration joinTime = 1500ms;
 inline constexpr duration minSyncBackoff = 1s; // for a router that did not answer; doubles
 inline constexpr duration maxSyncBackoff = 8s;
 inline constexpr duration minLagBeforeSync = 600ms; // routers receive a change within half a second of each other
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -162,7 +162,9 @@
     m_startedAt = m_startedAt.value_or(now);
     const bool isDiscoveryOver = now - *m_startedAt >= limits::discoveryTime && !m_leaders.empty();
     const duration interval = isDiscoveryOver ? limits::steadySyncInterval : limits::syncInterval;
-    m_nextSyncAt = now + (input.isApiReachable && !m_peers.empty() ? interval : limits::isolatedSyncInterval);
+    const bool isJoining = m_options.joinsRunningSystem && now - *m_startedAt < limits::joinTime;
+    const bool isJoined = !isJoining && !m_peers.empty();
+    m_nextSyncAt = now + (input.isApiReachable && isJoined ? interval : limits::isolatedSyncInterval);
     if (const std::string *next = nextTarget(now)) {
         ++m_syncCount;
         sync(now, *next, effects);
--- a/tests/test_router_gossip.cpp
+++ b/tests/test_router_gossip.cpp
@@ -81,6 +81,27 @@
     BOOST_TEST(all <= 25U); // one per second for ten seconds, then one per four seconds
 }
 
+// Guards against routers that know few others and little of the caches for a second, after all of them restarted at the same time: the
+// first answers came from routers that had just started themselves.
+BOOST_AUTO_TEST_CASE(restartOfAll_firstSeconds_syncsFiveTimesASecond)
+{
+    gossip = router_gossip {gossip_options {"self", "self:1", "domain", {"self:1", "seed:1"}, true}};
+    const auto syncsBetween = [this](duration from, duration to) {
+        unsigned syncs = 0;
+        for (duration when = from; when < to; when += 100ms) {
+            receive(when, "a");
+            at(when, gossip_event::tick {true});
+            if (syncTarget() != "nobody") {
+                ++syncs;
+                at(when, gossip_event::sync_completed {});
+            }
+        }
+        return syncs;
+    };
+    BOOST_TEST(syncsBetween(0ms, 1500ms) >= 7U);
+    BOOST_TEST(syncsBetween(1500ms, 5500ms) <= 5U);
+}
+
 BOOST_AUTO_TEST_CASE(livenessReceived_namedRouters_stayLive)
 {
     receive(0ms, "b");
