Unused functions and constants are gone

leader_election::domainOf, fleet_driver::recordContact and setLoadEstimates had no callers; limits::retryBudgetShare and loadReportLifetime were duplicates of defaults in router_options.

--- a/include/nutmegtally/leader_election.h
+++ b/include/nutmegtally/leader_election.h
@@ -65,9 +65,6 @@
     /// The other routers of this router's domain.
     std::vector<const router_endpoint *> domainPeers() const;
 
-    /// Failure domain of a router; empty if it is not known.
-    std::string_view domainOf(std::string_view name) const;
-
     /// True if this router is one of the few that watch a kind of object with a short timeout, so that a watch whose connection
     /// was lost without an error is noticed soon.
     bool usesShortWatches(std::string_view kind) const;
--- a/programs/daemon/daemon_fleet_driver.cpp
+++ b/programs/daemon/daemon_fleet_driver.cpp
@@ -343,16 +343,6 @@
     m_notificationTasks.post([this] { post(fleet_event::leave_requested {}); });
 }
 
-void fleet_driver::recordContact(vm_id vm, bool succeeded)
-{
-    m_notificationTasks.post([this, vm, succeeded] { post(fleet_event::contact_observed {vm, succeeded}); });
-}
-
-void fleet_driver::setLoadEstimates(std::vector<class_load_estimate> estimates)
-{
-    m_notificationTasks.post([this, estimates = std::move(estimates)] { post(fleet_event::load_estimates_changed {estimates}); });
-}
-
 fleet_status fleet_driver::status() const
 {
     const std::lock_guard lock(m_mutex);
--- a/programs/daemon/daemon_fleet_driver.h
+++ b/programs/daemon/daemon_fleet_driver.h
@@ -91,11 +91,6 @@
     /// @param params JSON text.
     rpc_reply call(const std::string &address, const std::string &method, const std::string &params, duration timeout);
 
-    /// Reports the outcome of a request to the VM's process in serving traffic; input of failure detection.
-    void recordContact(vm_id vm, bool succeeded);
-    /// Sets the load estimates that are sent to peers.
-    void setLoadEstimates(std::vector<class_load_estimate> estimates);
-
     fleet_status status() const;
     fleet_byte_counts bytes() const;
 
--- a/src/leader_election.cpp
+++ b/src/leader_election.cpp
@@ -164,12 +164,6 @@
     return endpoints;
 }
 
-std::string_view leader_election::domainOf(std::string_view name) const
-{
-    const auto known = m_domainOf.find(name);
-    return known == m_domainOf.end() ? std::string_view() : std::string_view(known->second);
-}
-
 bool leader_election::usesShortWatches(std::string_view kind) const
 {
     // Ranks the planned leaders of all domains by kind, so that one router does not have the short watches of all kinds.
--- a/src/limits.h
+++ b/src/limits.h
@@ -35,18 +35,14 @@
 
 // Routing.
 inline constexpr std::size_t maxCandidates = 4;
-inline constexpr duration loadReportLifetime = 10s;
 inline constexpr duration flapPenaltyHalfLife = 30s;
 inline constexpr double maxFlapPenalty = 5; // all running attempts fail at once when an engine dies; that counts as one loss, not as thirty
 inline constexpr duration failureBackoff = 250ms; // without new requests after a failure; doubles with each point of flap penalty
 inline constexpr duration flapPenaltyDelay = 100ms; // added to the expected delay per point of penalty
-inline constexpr double retryBudgetShare = 0.10; // retries per successful request
 inline constexpr duration retryBudgetHalfLife = 10s; // of the weight of past successes and retries
 inline constexpr double assumedPrefillTokensPerSecond = 8000; // until an upstream reports its rate
 // Weight of a token that has to be prefilled again relative to a token that is already queued. It is large because a
-// repeated prefill delays all requests of the engine, and at high load each moved request displaces others. Share of the
-// ideal cache reuse at 85% load: 0.77 with weight 8, 0.87 with 32, highest from 128 on (trial with nutmegtally-bench
-// policy, Mauritius, no churn, seed 1).
+// repeated prefill delays all requests of the engine, and at high load each moved request displaces others.
 inline constexpr double recomputeCost = 1000;
 inline constexpr std::uint64_t ringPointsPerUpstream = 64; // consistent_hash_policy
 // Smallest load bound: relative to the mean of a nearly idle pool, a bound would exclude upstreams with a single request.
