--- a/include/nutmegtally/cache_recovery.h
+++ b/include/nutmegtally/cache_recovery.h
@@ -23,7 +23,7 @@
     /// Starts the wait for other routers. Has no effect after the first call.
     void begin(time_point now);
 
-    /// True once, after the wait for other routers.
+    /// True after the wait for other routers, until setQueried() is called.
     bool isQueryDue(time_point now) const;
 
     /// Records which engines were asked.
