Logs say how a relayed answer ended: framing and bytes of an unfinished event

Operators could not tell from request_answered and stream_broken whether a stream that reached its caller short had ended with its connection, or with a length or a last chunk of its upstream. Both lines now carry framing and unfinished_bytes; events are found with LF and with CR LF.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -2,6 +2,7 @@
 // on retries and timeouts. A reducer: events carry the time, and the serving loop owns the sockets.
 #pragma once
 
+#include <nutmegtally/answer_framing.h>
 #include <nutmegtally/attempt_failure.h>
 #include <nutmegtally/cache_recovery.h>
 #include <nutmegtally/log_events.h>
@@ -49,6 +50,12 @@
     std::optional<duration> pauseFor = std::nullopt; // the upstream asks this router to send no requests for this time
 };
 
+/// Where and how the body of an answer ended.
+struct answer_end {
+    answer_framing framing = answer_framing::length;
+    std::uint64_t unfinishedBytes = 0; // after the last complete event of an event stream; 0 for other bodies
+};
+
 /// Final answers that a router gives itself.
 enum class refusal_reason : std::uint8_t {
     noRules, // no configuration yet
@@ -173,11 +180,13 @@
 /// The connection of a relayed stream ended before the stream was complete. The caller got only whole events.
 struct stream_broken {
     exchange_id exchange = 0;
+    answer_end end {};
 };
 
 /// The last byte of the answer was sent to the caller.
 struct answer_finished {
     exchange_id exchange = 0;
+    answer_end end {};
 };
 
 /// This router's rules, upstreams and closures are as new as those of another router or of the object API.
@@ -353,6 +362,7 @@
     void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
 
     log_line attemptLogLine(time_point now, const exchange &work) const;
+    static void addAnswerEnd(log_line &line, const answer_end &end);
     void queryCaches(time_point now, std::vector<effect> &effects);
     /// True if a request with a prompt had better wait until it is known which engines have it cached.
     bool awaitsCacheState(time_point now, const exchange &work) const;
--- a/programs/serving/event_stream.cpp
+++ b/programs/serving/event_stream.cpp
@@ -27,8 +27,33 @@
 
 } // namespace
 
+std::optional<std::size_t> event_stream::scan(std::string_view bytes)
+{
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        ++m_unfinishedBytes;
+        if (bytes[i] != '\n') {
+            m_isLineEmpty = m_isLineEmpty && bytes[i] == '\r';
+            continue;
+        }
+        if (m_isLineEmpty) {
+            m_unfinishedBytes = 0;
+            return i + 1;
+        }
+        m_isLineEmpty = true;
+    }
+    return std::nullopt;
+}
+
+void event_stream::observe(std::string_view bytes)
+{
+    while (const std::optional<std::size_t> end = scan(bytes)) {
+        bytes.remove_prefix(*end);
+    }
+}
+
 std::string event_stream::feed(std::string_view bytes)
 {
+    observe(bytes);
     m_partial += bytes;
     std::string completeEvents;
     std::size_t start = 0;
--- a/programs/serving/http_message.h
+++ b/programs/serving/http_message.h
@@ -2,6 +2,8 @@
 // request smuggling, where two parties frame the same bytes differently.
 #pragma once
 
+#include <nutmegtally/answer_framing.h>
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <cstddef>
@@ -103,10 +105,13 @@
         return base::is_done();
     }
 
-    /// The end of the message is the end of the connection (an answer without Content-Length and chunked coding).
-    bool isCloseDelimited() const
+    /// How the end of the message is marked. Valid once isHeadDone().
+    answer_framing framing() const
     {
-        return base::need_eof();
+        if (base::need_eof()) {
+            return answer_framing::connection;
+        }
+        return base::chunked() ? answer_framing::chunked : answer_framing::length;
     }
 
     /// The connection persists after this message, by HTTP version and Connection field.
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -131,7 +131,7 @@
         bool isAnswerReported = false; // answer_received was posted for the running attempt
         bool isRelaying = false; // the head of the answer was sent to the caller
         bool isChunked = false; // the answer is sent to the caller with chunked transfer coding
-        event_stream eventStream; // used for resumable streams only
+        event_stream eventStream; // of answers that are streams of events
     };
 
     std::shared_ptr<const client_connection::handlers> clientHandlers();
@@ -159,6 +159,8 @@
     /// Ends the attempt's use of its connection, which returns to the pool if reusable.
     void releaseUpstream(exchange_state &state, bool reusable);
     static void closeUpstream(exchange_state &state);
+    /// How the answer of the running attempt ended. Call before the connection is released.
+    static answer_end endOf(const exchange_state &state);
     exchange_state *find(exchange_id id);
     void tick();
 
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -213,6 +213,9 @@
             return;
         }
     } else {
+        if (state->isStream && state->isAnswerReported) {
+            state->eventStream.observe(piece);
+        }
         state->answerBody += piece;
     }
     if (!state->isAnswerReported && state->answerBody.size() > serving_limits::maxBufferedAnswerBytes) {
@@ -265,6 +268,7 @@
     if (state == nullptr) {
         return;
     }
+    const answer_end end = endOf(*state);
     releaseUpstream(*state, reusable);
     if (!state->isAnswerReported) {
         reportAnswer(id, *state);
@@ -280,7 +284,13 @@
     }
     m_exchangeByClient.erase(state->client.get());
     m_exchanges.erase(id);
-    post(entry_event::answer_finished {id});
+    post(entry_event::answer_finished {id, end});
+}
+
+template<request_codec Codec>
+answer_end serving_core<Codec>::endOf(const exchange_state &state)
+{
+    return {state.upstream->framing(), state.eventStream.unfinishedBytes()};
 }
 
 template<request_codec Codec>
@@ -299,9 +309,10 @@
     if (state == nullptr) {
         return;
     }
+    const answer_end end = endOf(*state);
     state->upstream.reset();
     if (state->isRelaying && state->isAnswerReported) {
-        post(entry_event::stream_broken {id});
+        post(entry_event::stream_broken {id, end});
         return;
     }
     post(entry_event::attempt_failed {id, failure});
--- a/programs/serving/upstream_connection.cpp
+++ b/programs/serving/upstream_connection.cpp
@@ -153,12 +153,13 @@
                 continue;
             }
             m_headReceived = true;
+            m_framing = m_parser->framing();
             parseKeepAliveTimeout(m_parser->head());
             m_answerMatches = owner->head(m_parser->head());
             if (generation != m_generation || !m_busy) {
                 return;
             }
-            if (!m_answerMatches && m_parser->isCloseDelimited()) {
+            if (!m_answerMatches && m_framing == answer_framing::connection) {
                 fail(attempt_failure::lost);
                 return;
             }
@@ -222,7 +223,7 @@
 void upstream_connection::answerDone()
 {
     ++m_answerCount;
-    const bool keeps = m_parser->isKeepAlive() && !m_parser->isCloseDelimited();
+    const bool keeps = m_parser->isKeepAlive() && m_framing != answer_framing::connection;
     // Not reusable after extra bytes behind the answer, an answer that arrived before the whole request was sent, or an answer to
     // another request.
     const bool reusable = keeps && m_requestWritten && m_input.empty() && !m_foreignAnswerSeen;
--- a/programs/serving/upstream_connection.h
+++ b/programs/serving/upstream_connection.h
@@ -61,6 +61,12 @@
         return m_keepAliveTimeout;
     }
 
+    /// Framing of the last answer whose head was received.
+    answer_framing framing() const
+    {
+        return m_framing;
+    }
+
     /// Number of complete answers to the requests of this connection.
     std::uint64_t answerCount() const
     {
@@ -99,6 +105,7 @@
     std::string m_input; // received but not parsed yet
     std::string m_request;
     duration m_keepAliveTimeout {0};
+    answer_framing m_framing = answer_framing::length;
     std::uint64_t m_answerCount = 0;
     bool m_open = false;
     bool m_busy = false; // a request is in progress
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -70,6 +70,11 @@
     return line;
 }
 
+void entry_core::addAnswerEnd(log_line &line, const answer_end &end)
+{
+    line.with("framing", nameOf(end.framing)).with("unfinished_bytes", end.unfinishedBytes);
+}
+
 entry_core::entry_core(entry_options options)
     : m_options(std::move(options))
     , m_upstreams(m_options.domain, m_options.mechanisms)
@@ -460,6 +465,7 @@
     }
     exchange &work = found->second;
     log_line line = attemptLogLine(now, work);
+    addAnswerEnd(line, input.end);
     effects.push_back(record(log_event::streamBroken, line));
     endAttempt(now, work, attempt_result::lost);
     if (m_options.mechanisms.has(mechanism::streamResumption) && work.route->isResumable && mayRetry(now, work, effects)) {
@@ -485,6 +491,7 @@
         .with("route", work.route->name)
         .with("after_ms", now - work.arrivedAt)
         .with("sends", work.sends);
+    addAnswerEnd(line, input.end);
     effects.push_back(record(log_event::requestAnswered, line));
     report(now, work, "answered", "", effects);
     finish(input.exchange);
