Failing test: streams that are broken off at any byte and look complete

A scripted upstream ends its answer, in an orderly way or by a reset, at every byte, in each framing, for routes with and without events and with and without a second attempt.

--- /dev/null
+++ b/tests/test_daemon_answer_ends.cpp
@@ -0,0 +1,201 @@
+// Ends of an upstream's answer at every byte: what the caller gets after an orderly end or a reset of the connection, for each
+// framing, with and without events, with and without a second attempt.
+#include "tests/serving_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <string>
+#include <vector>
+
+using namespace nutmegtally;
+using namespace nutmegtally::test;
+
+namespace
+{
+
+const std::vector<std::string> eventsWithLf {"id: 1\n\n", "id: 2\n\n"};
+const std::vector<std::string> eventsWithCrLf {"id: 1\r\n\r\n", "id: 2\r\n\r\n"};
+
+std::string joined(const std::vector<std::string> &events, std::size_t first = 0)
+{
+    std::string body;
+    for (std::size_t i = first; i < events.size(); ++i) {
+        body += events[i];
+    }
+    return body;
+}
+
+/// Everything behind the signature in an answer with this body.
+std::string framed(const std::string &body, answer_framing framing)
+{
+    switch (framing) {
+    case answer_framing::length:
+        return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    case answer_framing::chunked:
+        return "Transfer-Encoding: chunked\r\n\r\n" + formatChunk(body) + std::string(lastChunk);
+    default:
+        return "\r\n" + body;
+    }
+}
+
+/// An answer as its caller sees it.
+struct seen_answer {
+    int status = 0;
+    std::string body;
+    bool isComplete = false;
+
+    bool isWholeSuccess(const std::string &whole) const
+    {
+        return isComplete && status == 200 && body == whole;
+    }
+};
+
+seen_answer parsed(std::string_view text)
+{
+    answer_parser parser(text.size() + 1);
+    parser.feed(text);
+    return {parser.head().status, parser.body(), parser.isDone()};
+}
+
+/// The first attempt gets the beginning of an answer, which then ends; a second attempt gets what is left of it.
+struct ended_answer {
+    std::vector<std::string> events;
+    answer_framing framing;
+    std::size_t bytes; // of the answer that are sent
+    bool resets; // rather than ending the connection in an orderly way
+
+    std::string whole() const
+    {
+        return signedHead + framed(joined(events), framing);
+    }
+
+    seen_answer fetchedFrom(const std::string &route) const
+    {
+        serving_fixture fixture;
+        bool isFirst = true;
+        const auto respond = [&](const std::string &request) {
+            if (std::exchange(isFirst, false)) {
+                return scripted_answer {whole().substr(0, bytes), !resets, resets};
+            }
+            const std::size_t received
+                = serving_fixture::has(request, "Last-Event-Id: 2") ? 2 : serving_fixture::has(request, "Last-Event-Id: 1");
+            return scripted_answer {signedHead + framed(joined(events, received), answer_framing::chunked)};
+        };
+        fixture.upstream(respond);
+        fixture.upstream(respond);
+        tcp::socket client = fixture.connect();
+        serving_fixture::send(client, serving_fixture::request(route, "r1", "Connection: close\r\n"));
+        const std::string text = fixture.readUntil(client, "[never]");
+        return parsed(std::string_view(text).substr(0, text.rfind("[closed]")));
+    }
+
+    std::string description(const std::string &route) const
+    {
+        return route + ", " + std::string(nameOf(framing)) + (events == eventsWithLf ? ", LF, " : ", CR LF, ") + (resets ? "reset" : "end")
+               + " after " + std::to_string(bytes) + " of " + std::to_string(whole().size()) + " bytes";
+    }
+};
+
+/// Every end of an answer from the last byte of its head on, and one within the head.
+template<typename Check>
+void forEachEnd(Check check)
+{
+    for (const std::vector<std::string> &events : {eventsWithLf, eventsWithCrLf}) {
+        for (const answer_framing framing : {answer_framing::length, answer_framing::chunked, answer_framing::connection}) {
+            ended_answer each {events, framing, signedHead.size(), false};
+            const std::string whole = each.whole();
+            const std::size_t head = whole.find("\r\n\r\n") + 4;
+            while (each.bytes <= whole.size()) {
+                for (const bool resets : {false, true}) {
+                    each.resets = resets;
+                    // What is left of the body for the upstream to send, by the framing that it chose.
+                    check(each, whole.substr(std::min(head, each.bytes), each.bytes - std::min(head, each.bytes)));
+                }
+                each.bytes = std::max(each.bytes + 1, head - 1);
+            }
+        }
+    }
+}
+
+/// The bytes before the end do not tell that anything is missing.
+bool looksWhole(const ended_answer &answer, const std::string &sent, bool isStream)
+{
+    const std::string whole = answer.whole();
+    if (answer.framing != answer_framing::connection) {
+        return answer.bytes == whole.size();
+    }
+    const std::size_t head = whole.find("\r\n\r\n") + 4;
+    const bool isAtEvent = sent == answer.events[0] || sent == joined(answer.events);
+    return answer.bytes >= head && !answer.resets && (!isStream || isAtEvent);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(answer_ends)
+
+// Guards against a stream that its upstream broke off reaching the caller as complete: a stream without length and chunks that
+// ended within an event, or before its first one, was relayed with a last chunk.
+BOOST_AUTO_TEST_CASE(streamThatMayNotBeRepeated_endedEarly_doesNotLookComplete)
+{
+    forEachEnd([](const ended_answer &answer, const std::string &sent) {
+        const seen_answer seen = answer.fetchedFrom("brief");
+        const bool isRelayed = seen.isComplete && seen.status == 200;
+        BOOST_TEST(isRelayed == looksWhole(answer, sent, true), answer.description("brief"));
+    });
+}
+
+// Guards against the same in a stream that another upstream can go on with: it was neither resumed nor whole.
+BOOST_AUTO_TEST_CASE(streamThatMayBeResumed_endedEarly_isResumedWithoutGapOrRepeat)
+{
+    forEachEnd([](const ended_answer &answer, const std::string &sent) {
+        const bool isUnnoticed = looksWhole(answer, sent, true) && answer.framing == answer_framing::connection;
+        const std::string expected = isUnnoticed ? sent : joined(answer.events);
+        BOOST_TEST(answer.fetchedFrom("reply").isWholeSuccess(expected), answer.description("reply"));
+    });
+}
+
+// Guards against a truncated answer being relayed with a length of its own.
+BOOST_AUTO_TEST_CASE(bookingAnswer_endedEarly_isNoSuccess)
+{
+    forEachEnd([](const ended_answer &answer, const std::string &sent) {
+        const seen_answer seen = answer.fetchedFrom("booking");
+        BOOST_TEST(seen.isComplete, answer.description("booking"));
+        BOOST_TEST((seen.status == 200) == looksWhole(answer, sent, false), answer.description("booking"));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(readAnswer_endedEarly_isFetchedFromAnotherUpstream)
+{
+    forEachEnd([](const ended_answer &answer, const std::string &sent) {
+        const bool isUnnoticed = looksWhole(answer, sent, false) && answer.framing == answer_framing::connection;
+        const std::string expected = isUnnoticed ? sent : joined(answer.events);
+        BOOST_TEST(answer.fetchedFrom("read").isWholeSuccess(expected), answer.description("read"));
+    });
+}
+
+// Guards against an upstream whose error handling completes the frame of a stream that it could not finish.
+BOOST_AUTO_TEST_CASE(completeFrame_thatEndsWithinAnEvent_isABrokenStream)
+{
+    for (const answer_framing framing : {answer_framing::length, answer_framing::chunked, answer_framing::connection}) {
+        for (const std::string route : {"brief", "reply"}) {
+            const std::string cut = signedHead + framed("id: 1\n\nid: 2\nda", framing);
+            serving_fixture fixture;
+            const auto respond = [&](const std::string &request) {
+                return serving_fixture::has(request, "Last-Event-Id: 1")
+                           ? scripted_answer {signedHead + framed("id: 2\n\n", answer_framing::chunked)}
+                           : scripted_answer {cut, framing == answer_framing::connection};
+            };
+            fixture.upstream(respond);
+            fixture.upstream(respond);
+            tcp::socket client = fixture.connect();
+            serving_fixture::send(client, serving_fixture::request(route, "r1", "Connection: close\r\n"));
+            const std::string text = fixture.readUntil(client, "[never]");
+            const seen_answer seen = parsed(std::string_view(text).substr(0, text.rfind("[closed]")));
+            BOOST_TEST(seen.isComplete == (route == "reply"), route << ", " << nameOf(framing));
+            BOOST_TEST((route != "reply" || seen.body == "id: 1\n\nid: 2\n\n"), route << ", " << nameOf(framing));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
