A stream is whole only at the end of an event, whatever its frame says

Cause: the end of a stream was read from its transport frame alone. Without length and chunks any orderly end of the connection counted as the end of the answer, and the router then wrote a last chunk that the engine never sent; a bare line of the unfinished event was even appended. Class of fault: a proxy that re-frames an answer states more about its end than it knows. Ruled out: a reset taken for an orderly end, and a wrongly joined resume; no case with either fails. Change: event_stream decides whether a stream that ended is whole: not within an event, and not before its first event if only the connection marks the end. A broken one is resumed where the route allows it and cut otherwise. Events are found with CR LF too: such streams could not be resumed and were held back until their end. Looked for elsewhere: the agents' chats need a finish reason or [DONE] and their routers a final record with a checksum; answers of the object API and of routers must parse as JSON; none relies on the frame alone.

--- a/programs/serving/event_stream.cpp
+++ b/programs/serving/event_stream.cpp
@@ -18,6 +18,9 @@
             while (!value.empty() && value.front() == ' ') {
                 value.remove_prefix(1);
             }
+            if (value.ends_with('\r')) {
+                value.remove_suffix(1);
+            }
             return parseDecimal(value);
         }
         event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
@@ -27,16 +30,28 @@
 
 } // namespace
 
+void event_stream::startAttempt()
+{
+    m_partial.clear();
+    m_unfinishedBytes = 0;
+    m_isLineEmpty = true;
+    m_hasField = false;
+    m_hasEvent = false;
+}
+
 std::optional<std::size_t> event_stream::scan(std::string_view bytes)
 {
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         ++m_unfinishedBytes;
         if (bytes[i] != '\n') {
+            m_hasField = m_hasField || (m_isLineEmpty && bytes[i] != '\r' && bytes[i] != ':');
             m_isLineEmpty = m_isLineEmpty && bytes[i] == '\r';
             continue;
         }
         if (m_isLineEmpty) {
             m_unfinishedBytes = 0;
+            m_hasEvent = m_hasEvent || m_hasField;
+            m_hasField = false;
             return i + 1;
         }
         m_isLineEmpty = true;
@@ -53,21 +68,19 @@
 
 std::string event_stream::feed(std::string_view bytes)
 {
-    observe(bytes);
-    m_partial += bytes;
     std::string completeEvents;
-    std::size_t start = 0;
-    for (std::size_t end = m_partial.find("\n\n"); end != std::string::npos; end = m_partial.find("\n\n", start)) {
-        const std::string_view event(m_partial.data() + start, end + 2 - start);
-        const std::optional<std::uint64_t> id = eventId(event);
+    while (const std::optional<std::size_t> end = scan(bytes)) {
+        m_partial += bytes.substr(0, *end);
+        bytes.remove_prefix(*end);
+        const std::optional<std::uint64_t> id = eventId(m_partial);
         const bool isRepeated = id && m_lastEventId && *id <= *m_lastEventId;
         if (!isRepeated) {
-            completeEvents += event;
+            completeEvents += m_partial;
             m_lastEventId = id ? id : m_lastEventId;
         }
-        start = end + 2;
+        m_partial.clear();
     }
-    m_partial.erase(0, start);
+    m_partial += bytes;
     return completeEvents;
 }
 
--- a/programs/serving/event_stream.h
+++ b/programs/serving/event_stream.h
@@ -1,9 +1,11 @@
-// Splits a relayed stream of server-sent events into complete events and records the id of the last one, so that another
-// upstream can resume the stream after it.
+// Splits a relayed stream of server-sent events into complete events, decides whether a stream that ended is whole, and records
+// the id of the last event, so that another upstream can resume the stream after it.
 #pragma once
 
 #include "serving/serving_limits.h"
 
+#include <nutmegtally/answer_framing.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,7 +21,7 @@
     /// @return Events that are now complete, without those whose id is not above lastEventId().
     std::string feed(std::string_view bytes);
 
-    /// Adds bytes that are relayed as they are, events or not.
+    /// Adds bytes of a stream that is relayed byte by byte: no event is held back, filtered, or recorded as the last one.
     void observe(std::string_view bytes);
 
     /// Number of bytes after the last complete event.
@@ -28,25 +30,21 @@
         return m_unfinishedBytes;
     }
 
-    /// Bytes after the last complete event.
-    const std::string &partialEvent() const
+    /// @return False if the stream was broken off, now that its upstream has ended it: within an event, or without any event if
+    /// nothing but the end of the connection says that the stream is over.
+    bool isWhole(answer_framing framing) const
     {
-        return m_partial;
+        return m_unfinishedBytes == 0 && (m_hasEvent || framing != answer_framing::connection);
     }
 
     /// The unfinished event exceeds serving_limits::maxEventBytes: the input is not a valid event stream.
     bool isEventTooLong() const
     {
-        return m_partial.size() > serving_limits::maxEventBytes;
+        return m_unfinishedBytes > serving_limits::maxEventBytes;
     }
 
-    /// Discards an unfinished event. Called before another attempt, whose stream starts with a complete event.
-    void discardPartialEvent()
-    {
-        m_partial.clear();
-        m_unfinishedBytes = 0;
-        m_isLineEmpty = true;
-    }
+    /// Starts the stream of another attempt, which begins with a complete event. Keeps lastEventId().
+    void startAttempt();
 
     /// Id of the last complete event.
     const std::optional<std::uint64_t> &lastEventId() const
@@ -59,9 +57,11 @@
     /// @return Number of bytes up to and including that end; nothing if all bytes were scanned without one.
     std::optional<std::size_t> scan(std::string_view bytes);
 
+    std::string m_partial; // bytes after the last complete event, as given to feed()
     std::uint64_t m_unfinishedBytes = 0;
     bool m_isLineEmpty = true; // no byte of a line was scanned since the last end of a line
-    std::string m_partial;
+    bool m_hasField = false; // in the unfinished event; comments are no fields
+    bool m_hasEvent = false; // of this attempt; comments alone are no event
     std::optional<std::uint64_t> m_lastEventId; // never decreases
 };
 
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -128,10 +128,11 @@
         http_head answerHead;
         answer_summary answer; // decoded from answerHead
         std::string answerBody; // received but not forwarded yet
+        bool carriesEvents = false; // the answer is a stream of events
         bool isAnswerReported = false; // answer_received was posted for the running attempt
         bool isRelaying = false; // the head of the answer was sent to the caller
         bool isChunked = false; // the answer is sent to the caller with chunked transfer coding
-        event_stream eventStream; // of answers that are streams of events
+        event_stream eventStream; // used if the answer carries events
     };
 
     std::shared_ptr<const client_connection::handlers> clientHandlers();
@@ -152,6 +153,8 @@
     void answerBody(exchange_id id, std::string &&piece);
     void answerDone(exchange_id id, bool reusable);
     void attemptFailed(exchange_id id, attempt_failure failure);
+    /// @param isStreamExpected Used for an answer that does not state its type.
+    static bool isEventStream(const http_head &head, bool isStreamExpected);
     /// Posts answer_received. The reducer may end the exchange: find it again afterwards.
     void reportAnswer(exchange_id id, exchange_state &state);
     /// Sends the buffered body to the caller, and pauses reading from the upstream if the caller is slow (backpressure).
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -131,7 +131,7 @@
     state->isResumable = attempt.isResumable;
     state->isAnswerReported = false;
     state->answerBody.clear();
-    state->eventStream.discardPartialEvent();
+    state->eventStream.startAttempt();
     state->upstreamKey = attempt.instance + '@' + attempt.address;
     const std::optional<std::uint64_t> resumeAfter = attempt.isResume ? state->eventStream.lastEventId() : std::nullopt;
     std::string request = m_codec.encodeAttempt(state->head, state->body.size(), attempt, resumeAfter);
@@ -185,12 +185,21 @@
     state->answerHead = head;
     state->answer = answer.summary;
     const bool isSuccess = head.status >= 200 && head.status < 300;
+    state->carriesEvents = isSuccess && isEventStream(head, state->isStream);
     if (state->isStream && isSuccess) {
         reportAnswer(id, *state);
     }
     return true;
 }
 
+template<request_codec Codec>
+bool serving_core<Codec>::isEventStream(const http_head &head, bool isStreamExpected)
+{
+    constexpr std::string_view mediaType = "text/event-stream";
+    const std::string *type = head.find("content-type");
+    return type == nullptr ? isStreamExpected : equalsIgnoreCase(std::string_view(*type).substr(0, mediaType.size()), mediaType);
+}
+
 template<request_codec Codec>
 void serving_core<Codec>::reportAnswer(exchange_id id, exchange_state &state)
 {
@@ -205,7 +214,7 @@
     if (state == nullptr) {
         return;
     }
-    if (state->isStream && state->isResumable && state->isAnswerReported) {
+    if (state->carriesEvents && state->isStream && state->isResumable) {
         state->answerBody += state->eventStream.feed(piece);
         if (state->eventStream.isEventTooLong()) {
             state->upstream->close();
@@ -213,7 +222,7 @@
             return;
         }
     } else {
-        if (state->isStream && state->isAnswerReported) {
+        if (state->carriesEvents) {
             state->eventStream.observe(piece);
         }
         state->answerBody += piece;
@@ -269,6 +278,11 @@
         return;
     }
     const answer_end end = endOf(*state);
+    if (state->carriesEvents && !state->eventStream.isWhole(end.framing)) {
+        state->upstream->close();
+        attemptFailed(id, attempt_failure::lost);
+        return;
+    }
     releaseUpstream(*state, reusable);
     if (!state->isAnswerReported) {
         reportAnswer(id, *state);
@@ -278,7 +292,6 @@
         return; // the reducer retried or refused the request instead
     }
     if (state->isChunked) {
-        state->answerBody += state->eventStream.partialEvent();
         forwardBody(*state);
         state->client->endAnswer();
     }
--- a/tests/test_daemon_answer_ends.cpp
+++ b/tests/test_daemon_answer_ends.cpp
@@ -198,4 +198,21 @@
     }
 }
 
+// Guards against keep-alive comments, which say nothing about the answer, passing for a stream that ended.
+BOOST_FIXTURE_TEST_CASE(streamOfComments_endedWithItsConnection_doesNotLookComplete, serving_fixture)
+{
+    upstream([](const std::string &) { return scripted_answer {signedHead + "\r\n: waiting\n\n", true}; });
+    const std::string text = fetch("brief", "[never]");
+    BOOST_TEST(has(text, "waiting"));
+    BOOST_TEST(!has(text, lastChunkText));
+}
+
+BOOST_FIXTURE_TEST_CASE(answerOfAnotherType_onAStreamingRoute_isCompleteAtItsOrderlyEnd, serving_fixture)
+{
+    upstream([](const std::string &) { return scripted_answer {signedHead + "Content-Type: application/json\r\n\r\n{}", true}; });
+    const std::string text = fetch("brief", lastChunkText);
+    BOOST_TEST(has(text, "{}"));
+    BOOST_TEST(has(text, lastChunkText));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
