--- a/tests/serving_fixture.h
+++ b/tests/serving_fixture.h
@@ -29,6 +29,7 @@
     bool closes = false; // closes the connection after the bytes
     bool resets = false; // resets the connection after the bytes
     std::string unsolicited {}; // sent after the answer, without a request
+    bool crashes = false; // resets all connections after the bytes and accepts no more
 };
 
 /// Accepts connections, reads requests framed by Content-Length, and answers as scripted.
@@ -50,6 +51,7 @@
     unsigned connections = 0;
     unsigned closedConnections = 0; // number of connections closed by the router
     unsigned unsolicitedAnswers = 0; // number sent
+    bool hasCrashed = false;
     std::vector<std::string> requests;
 
 private:
@@ -75,7 +77,9 @@
                 return;
             }
             ++connections;
-            read(std::make_shared<peer>(std::move(socket)));
+            const auto each = std::make_shared<peer>(std::move(socket));
+            m_peers.push_back(each);
+            read(each);
             accept();
         });
     }
@@ -125,6 +129,10 @@
             ++closedConnections;
             return;
         }
+        if (each->scripted.crashes) {
+            crash();
+            return;
+        }
         if (each->scripted.resets) {
             each->socket.set_option(boost::asio::socket_base::linger(true, 0));
         }
@@ -140,6 +148,18 @@
         read(each);
     }
 
+    void crash()
+    {
+        hasCrashed = true;
+        m_acceptor.close();
+        for (const std::weak_ptr<peer> &each : m_peers) {
+            if (const auto open = each.lock(); open && open->socket.is_open()) {
+                open->socket.set_option(boost::asio::socket_base::linger(true, 0));
+                open->socket.close();
+            }
+        }
+    }
+
     static std::string withId(std::string bytes, const std::string &request)
     {
         const std::size_t at = request.find("X-Request-Id: ");
@@ -151,6 +171,7 @@
     }
 
     tcp::acceptor m_acceptor;
+    std::vector<std::weak_ptr<peer>> m_peers;
     std::function<scripted_answer(const std::string &)> m_respond;
 };
 
