--- a/include/nutmegtally/attempt_failure.h
+++ b/include/nutmegtally/attempt_failure.h
@@ -10,7 +10,8 @@
 
 enum class attempt_failure : std::uint8_t {
     unreachable, // no byte of the request was sent
-    lost, // the connection ended before the answer was complete
+    lost, // the upstream ended the connection before the answer was complete
+    silent, // the upstream no longer acknowledges what it is sent
     damaged, // the bytes are no valid answer, or the answer belongs to another request
     count
 };
@@ -18,6 +19,7 @@
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(attempt_failure::count)> attemptFailureNames = {
     "unreachable",
     "lost",
+    "silent",
     "damaged",
 };
 
--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -7,11 +7,13 @@
 #include <nutmegtally/cache_recovery.h>
 #include <nutmegtally/log_events.h>
 #include <nutmegtally/log_line.h>
+#include <nutmegtally/prompt_quarantine.h>
 #include <nutmegtally/reducer.h>
 #include <nutmegtally/retry_budget.h>
 #include <nutmegtally/traffic_rules.h>
 #include <nutmegtally/upstream_set.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -63,6 +65,7 @@
     unknownKey,
     noUpstream, // not run
     noRoom, // not run
+    quarantined, // not run: its prompt has a part that crashes engines
     upstreamRefused, // not run, as the upstream stated
     draining, // not run
     timeoutNotRun, // timed out before it was sent
@@ -84,6 +87,7 @@
     {refusal_reason::unknownKey, "unknown_key", 401, true},
     {refusal_reason::noUpstream, "no_upstream", 503, true},
     {refusal_reason::noRoom, "no_room", 503, true},
+    {refusal_reason::quarantined, "quarantined", 503, true},
     {refusal_reason::upstreamRefused, "upstream_refused", 503, true},
     {refusal_reason::draining, "draining", 503, true},
     {refusal_reason::timeoutNotRun, "timeout_not_run", 503, true},
@@ -161,6 +165,27 @@
     prompt_parts parts;
 };
 
+/// The upstream has got past the beginning of its answer, of which more is to come.
+struct answer_progressed {
+    exchange_id exchange = 0;
+};
+
+/// Result of check_upstream.
+struct upstream_checked {
+    upstream_number upstream = noUpstreamNumber;
+    bool isDown = false; // refuses connections
+};
+
+/// Evidence of other routers on prompt parts that crash engines.
+struct part_evidence_received {
+    std::vector<part_evidence> evidence;
+};
+
+/// An operator releases a prompt part from quarantine.
+struct part_released {
+    std::uint64_t part = 0;
+};
+
 /// A complete answer, or the head of a stream, was received.
 struct answer_received {
     exchange_id exchange = 0;
@@ -180,6 +205,7 @@
 /// The connection of a relayed stream ended before the stream was complete. The caller got only whole events.
 struct stream_broken {
     exchange_id exchange = 0;
+    attempt_failure failure = attempt_failure::lost;
     answer_end end {};
 };
 
@@ -234,6 +260,12 @@
     std::string address;
 };
 
+/// Find out whether an upstream that broke off an answer still accepts connections.
+struct check_upstream {
+    upstream_number upstream = noUpstreamNumber;
+    std::string address;
+};
+
 /// Send a final answer of this router. Ends the exchange.
 struct refuse {
     exchange_id exchange = 0;
@@ -260,14 +292,17 @@
 class entry_core
 {
 public:
-    using event = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
-                               entry_event::closures_changed, entry_event::routers_changed, entry_event::role_changed,
-                               entry_event::request_received, entry_event::caller_left, entry_event::load_update_received,
-                               entry_event::prompt_locations_received, entry_event::held_parts_read, entry_event::held_parts_unread,
-                               entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken,
-                               entry_event::answer_finished, entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
-    using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer,
-                                entry_effect::list_held_parts, entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
+    using event
+        = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
+                       entry_event::closures_changed, entry_event::routers_changed, entry_event::role_changed,
+                       entry_event::request_received, entry_event::caller_left, entry_event::load_update_received,
+                       entry_event::prompt_locations_received, entry_event::held_parts_read, entry_event::held_parts_unread,
+                       entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken, entry_event::answer_finished,
+                       entry_event::answer_progressed, entry_event::upstream_checked, entry_event::part_evidence_received,
+                       entry_event::part_released, entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
+    using effect
+        = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer, entry_effect::list_held_parts,
+                       entry_effect::check_upstream, entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
 
     explicit entry_core(entry_options options);
 
@@ -301,6 +336,31 @@
         return m_upstreams.takePrompts();
     }
 
+    /// There is something that other routers should soon know.
+    bool hasAnnouncements() const
+    {
+        return m_upstreams.hasPromptsToAnnounce() || m_quarantine.hasNews();
+    }
+
+    std::size_t quarantinedParts(time_point now) const
+    {
+        const std::vector<part_verdict> verdicts = m_quarantine.verdicts(now);
+        return static_cast<std::size_t>(std::count_if(
+            verdicts.begin(), verdicts.end(), [](const part_verdict &each) { return each.standing == part_standing::quarantined; }));
+    }
+
+    const prompt_quarantine &quarantine() const
+    {
+        return m_quarantine;
+    }
+
+    /// As prompt_quarantine::evidence(), for a message to other routers.
+    std::vector<part_evidence> takeEvidence(time_point now)
+    {
+        m_quarantine.noteShared();
+        return m_quarantine.evidence(now);
+    }
+
     const upstream_set &upstreams() const
     {
         return m_upstreams;
@@ -329,16 +389,27 @@
         upstream_number upstream = noUpstreamNumber; // of the running attempt
         std::uint64_t prefillTokens = 0; // of the running attempt, as in its placement
         bool awaitsFirstEvent = false; // the running attempt has no answer yet
+        bool isPastStart = false; // the upstream of the running attempt has got past the beginning of its answer
         bool wasOverdue = false;
         bool isResume = false;
         unsigned sends = 0; // attempts of which something may have reached an upstream
         std::vector<upstream_number> tried;
         placement_outcome lastPlacement = placement_outcome::chosen;
         time_point pausedUntil; // with placement_outcome::allPaused
+        bool isSuccess = false; // the answer that is being relayed has a status of success
+        upstream_number checkedUpstream = noUpstreamNumber; // until the check of it has ended, the request is not sent again
+        bool isSuspected = false; // a part of the prompt is suspected to crash engines
+        duration quarantinedFor {0}; // with placement_outcome::quarantined
         refusal_reason lastFailure = refusal_reason::noUpstream; // reason of a refusal if there is no further attempt
         std::optional<refusal_reason> mayHaveRun; // set once the outcome of an attempt is unknown; replaces reasons that promise "not run"
     };
 
+    struct upstream_check {
+        std::string instance;
+        crash_id crash = 0; // its id, should the upstream have crashed
+        std::vector<prompt_parts> prompts; // of the answers that it broke off at their beginning
+    };
+
     using exchanges = std::unordered_map<exchange_id, exchange>;
 
     void on(time_point now, const entry_event::rules_changed &input, std::vector<effect> &effects);
@@ -357,6 +428,10 @@
     void on(time_point now, const entry_event::attempt_failed &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::answer_finished &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::answer_progressed &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::upstream_checked &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::part_evidence_received &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::part_released &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::state_verified &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::drain_requested &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
@@ -366,6 +441,15 @@
     void queryCaches(time_point now, std::vector<effect> &effects);
     /// True if a request with a prompt had better wait until it is known which engines have it cached.
     bool awaitsCacheState(time_point now, const exchange &work) const;
+    /// False if a part of the prompt is quarantined, or suspected while another request with it is on trial.
+    bool passesQuarantine(time_point now, exchange_id id, exchange &work);
+    void recordSurvival(time_point now, const exchange &work, std::vector<effect> &effects);
+    /// Checks an upstream that broke off an answer at its beginning: it may have crashed on the prompt. Call before the attempt ends.
+    void checkUpstream(exchange &work, attempt_failure failure, std::vector<effect> &effects);
+    /// Goes on with a request whose upstream was checked.
+    void followCheck(time_point now, exchange_id id, exchange &work, bool isDown, std::vector<effect> &effects);
+    std::vector<exchange_id> openIds() const;
+    void logQuarantine(std::vector<effect> &effects);
     bool place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeWaiting(time_point now, std::vector<effect> &effects);
@@ -391,6 +475,9 @@
     std::optional<time_point> m_lastEventAt; // a long gap means that the process was paused, as ticks are frequent
     std::optional<time_point> m_unverifiedUntil; // after a pause of the process: upstreams may have left, keys may be revoked
     cache_recovery m_cacheRecovery;
+    prompt_quarantine m_quarantine;
+    std::unordered_map<std::uint64_t, exchange_id> m_trials; // by suspected part: the request that may be sent with it
+    std::map<upstream_number, upstream_check> m_checks; // in progress
     bool m_announcesHeldParts = false; // other routers do not ask the same engines
 };
 
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -69,11 +69,13 @@
     allPaused, // those with room asked for a pause
     unverified, // the process was paused, and its state is not verified yet
     cachesUnknown, // the process has just started, and engines have not told yet what they have cached
+    quarantined, // a part of the prompt crashes engines
+    onTrial, // a part of the prompt is suspected to crash engines, and another request with it is not past its beginning
     count
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(placement_outcome::count)> placementOutcomeNames = {
-    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused", "unverified", "caches_unknown",
+    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused", "unverified", "caches_unknown", "quarantined", "on_trial",
 };
 
 constexpr std::string_view nameOf(placement_outcome outcome)
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -124,7 +124,7 @@
             [answer = std::move(answer)](const http_exchange::pointer &exchange) { exchange->reply(answer(*exchange)); });
     };
     m_readyServer = serve(settings.readyListen, [this](const http_exchange &) { return answerReady(); });
-    m_routerServer = serve(settings.routersListen, [this](const http_exchange &exchange) { return answerSync(exchange); });
+    m_routerServer = serve(settings.routersListen, [this](const http_exchange &exchange) { return answerRouters(exchange); });
     if (!settings.metricsListen.empty()) {
         m_metricsServer = serve(settings.metricsListen, [this](const http_exchange &exchange) { return answerMetrics(exchange.target()); });
     }
@@ -313,6 +313,7 @@
     now.upstreams = entryCore.upstreams().size();
     now.rulesVersion = entryCore.rules() ? entryCore.rules()->version : 0;
     now.droppedLines = m_log.dropped();
+    now.quarantinedParts = entryCore.quarantinedParts(this->now());
     return {200, {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}}, m_metrics.text(now)};
 }
 
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -97,6 +97,8 @@
     void updateRole();
     void handleHeartbeat(const router_heartbeat &heartbeat);
     void applySyncAnswer(const std::vector<std::string> &parts);
+    local_answer answerRouters(const http_exchange &exchange);
+    local_answer answerQuarantine(const http_exchange &exchange);
     local_answer answerSync(const http_exchange &exchange);
     const std::string &compressedSnapshot(object_kind kind, store_revision since);
 
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -3,6 +3,7 @@
 #include "entry/message_compression.h"
 #include "src/limits.h"
 
+#include <nutmegtally/ids.h>
 #include <nutmegtally/log_line.h>
 
 #include <algorithm>
@@ -113,6 +114,9 @@
     const bool isRelevantScope = m_election.isLeader() != (heartbeat.load.scope == load_scope::fleet);
     const bool isPreferredSource = heartbeat.load.scope == load_scope::router || m_election.isPreferredLeader(heartbeat.name, at);
     m_serving.post(entry_event::load_update_received {heartbeat.load, isRelevantScope && isPreferredSource});
+    if (!heartbeat.evidence.empty()) {
+        m_serving.post(entry_event::part_evidence_received {heartbeat.evidence});
+    }
 }
 
 void entry_daemon::carryOut(const gossip_effect::sync &syncRequest)
@@ -177,11 +181,34 @@
     return cached.bytes;
 }
 
-local_answer entry_daemon::answerSync(const http_exchange &exchange)
+local_answer entry_daemon::answerRouters(const http_exchange &exchange)
+{
+    if (exchange.target() == gossipPath) {
+        return answerSync(exchange);
+    }
+    if (exchange.target().starts_with(quarantinePath)) {
+        return answerQuarantine(exchange);
+    }
+    return http_server::plainFault({404, "this listener serves other routers, and operators under " + std::string(quarantinePath)});
+}
+
+local_answer entry_daemon::answerQuarantine(const http_exchange &exchange)
 {
-    if (exchange.target() != gossipPath) {
-        return http_server::plainFault({404, "this listener serves other routers"});
+    const std::string name = exchange.target().substr(quarantinePath.size());
+    if (exchange.method() == "GET" && name.empty()) {
+        const std::vector<part_verdict> verdicts = m_serving.entryCore().quarantine().verdicts(now());
+        return {200, {{"Content-Type", "application/json"}}, encodeQuarantine(verdicts)};
+    }
+    const std::uint64_t part = name.starts_with('/') ? fromHex(std::string_view(name).substr(1)) : 0;
+    if (exchange.method() != "DELETE" || part == 0) {
+        return http_server::plainFault({400, "GET lists the parts; DELETE of PATH/PART, in hexadecimal, releases one"});
     }
+    m_serving.post(entry_event::part_released {part});
+    return {200, {{"Content-Type", "text/plain"}}, "released\n"};
+}
+
+local_answer entry_daemon::answerSync(const http_exchange &exchange)
+{
     gossip_message syncRequest;
     try {
         syncRequest = decodeGossipMessage(decompressMessage(exchange.body()));
@@ -275,6 +302,7 @@
     heartbeat.routersCovered = static_cast<std::uint32_t>(m_serving.entryCore().upstreams().activeSources(now()));
     heartbeat.interval = m_heartbeatInterval;
     heartbeat.digests = ownDigests();
+    heartbeat.evidence = m_serving.takeEvidence();
     m_roundBytes = 0;
     ++m_heartbeatRounds;
     if (m_election.isLeader()) {
@@ -296,7 +324,7 @@
         if (fault || m_stopped) {
             return;
         }
-        if (now() >= m_nextHeartbeatAt || m_serving.entryCore().upstreams().hasPromptsToAnnounce()) {
+        if (now() >= m_nextHeartbeatAt || m_serving.entryCore().hasAnnouncements()) {
             sendHeartbeats();
             return;
         }
--- a/programs/entry/entry_metrics.cpp
+++ b/programs/entry/entry_metrics.cpp
@@ -15,6 +15,8 @@
     , m_upstreams(m_metrics.gauge("nutmegtally_entry_upstreams", "Upstreams that are listed"))
     , m_rulesVersion(m_metrics.gauge("nutmegtally_entry_rules_version", "Version of the traffic rules in force"))
     , m_droppedLines(m_metrics.gauge("nutmegtally_entry_log_lines_dropped", "Log lines dropped since the start"))
+    , m_quarantinedParts(
+          m_metrics.gauge("nutmegtally_entry_quarantined_parts", "Prompt parts that are quarantined because they crash engines"))
     , m_requestSeconds {
           &m_metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "idempotent"}}),
           &m_metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "non_idempotent"}}),
@@ -46,6 +48,7 @@
     m_upstreams.Set(static_cast<double>(gauges.upstreams));
     m_rulesVersion.Set(static_cast<double>(gauges.rulesVersion));
     m_droppedLines.Set(static_cast<double>(gauges.droppedLines));
+    m_quarantinedParts.Set(static_cast<double>(gauges.quarantinedParts));
     return m_metrics.text();
 }
 
--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -23,6 +23,7 @@
     std::uint64_t upstreams = 0; // listed ones
     std::uint64_t rulesVersion = 0;
     std::uint64_t droppedLines = 0; // of the log, since the start of the process
+    std::uint64_t quarantinedParts = 0; // of prompts
 };
 
 class entry_metrics
@@ -49,6 +50,7 @@
     prometheus::Gauge &m_upstreams;
     prometheus::Gauge &m_rulesVersion;
     prometheus::Gauge &m_droppedLines;
+    prometheus::Gauge &m_quarantinedParts;
     std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> m_requestSeconds;
 };
 
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -1,5 +1,7 @@
 #include "entry/gossip_codec.h"
 
+#include <nutmegtally/ids.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -58,6 +60,41 @@
     return prompts;
 }
 
+std::int64_t millisecondsOf(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+json evidenceToJson(const std::vector<part_evidence> &evidence)
+{
+    json list = json::array();
+    for (const part_evidence &each : evidence) {
+        json crashes = json::array();
+        for (const part_evidence::crash &crash : each.crashes) {
+            crashes.push_back({crash.id, millisecondsOf(crash.age)});
+        }
+        json survival = each.survivalAge ? json(millisecondsOf(*each.survivalAge)) : json();
+        list.push_back({each.part, each.depth, std::move(survival), std::move(crashes)});
+    }
+    return list;
+}
+
+std::vector<part_evidence> evidenceFromJson(const json &list)
+{
+    std::vector<part_evidence> evidence;
+    for (const json &item : list) {
+        part_evidence each {item.at(0).get<std::uint64_t>(), item.at(1).get<std::uint32_t>(), std::nullopt, {}};
+        if (!item.at(2).is_null()) {
+            each.survivalAge = std::chrono::milliseconds(item.at(2).get<std::uint32_t>());
+        }
+        for (const json &crash : item.at(3)) {
+            each.crashes.push_back({crash.at(0).get<crash_id>(), std::chrono::milliseconds(crash.at(1).get<std::uint32_t>())});
+        }
+        evidence.push_back(std::move(each));
+    }
+    return evidence;
+}
+
 } // namespace
 
 std::string encodeGossipMessage(const gossip_message &message)
@@ -105,6 +142,18 @@
     return message;
 }
 
+std::string encodeQuarantine(const std::vector<part_verdict> &verdicts)
+{
+    json list = json::array();
+    for (const part_verdict &each : verdicts) {
+        list.push_back({{"part", toHex(each.part)},
+                        {"standing", nameOf(each.standing)},
+                        {"crashes", each.crashes},
+                        {"leftMs", millisecondsOf(each.quarantinedFor)}});
+    }
+    return list.dump() + '\n';
+}
+
 std::string encodeSnapshot(const kind_snapshot &snapshot)
 {
     json objects = json::array();
@@ -189,10 +238,10 @@
     }
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(heartbeat.interval).count();
     std::string bytes;
-    json::to_msgpack(
-        json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval, load.source,
-                     static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving), std::move(digests), recentRouters}),
-        bytes);
+    json::to_msgpack(json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval,
+                                  load.source, static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving),
+                                  std::move(digests), recentRouters, evidenceToJson(heartbeat.evidence)}),
+                     bytes);
     return bytes;
 }
 
@@ -241,6 +290,9 @@
     for (std::string_view rest = recentRouters; !rest.empty();) {
         heartbeat.recentRouters.push_back(readNumber<std::uint32_t>(rest));
     }
+    if (document.size() > 12) { // routers of an earlier version send none
+        heartbeat.evidence = evidenceFromJson(document.at(12));
+    }
     return heartbeat;
 }
 
--- a/programs/entry/gossip_codec.h
+++ b/programs/entry/gossip_codec.h
@@ -4,6 +4,7 @@
 
 #include <nutmegtally/load_update.h>
 #include <nutmegtally/object_follower.h>
+#include <nutmegtally/prompt_quarantine.h>
 #include <nutmegtally/router_gossip.h>
 
 #include <cstdint>
@@ -16,6 +17,9 @@
 
 inline constexpr std::string_view gossipPath = "/routers/v1/news";
 
+/// Path at which operators list quarantined prompt parts, and release them.
+inline constexpr std::string_view quarantinePath = "/routers/v1/quarantine";
+
 /// Version of the objects of one kind that a router has.
 struct kind_digest {
     std::string kind;
@@ -39,6 +43,7 @@
     load_update load;
     std::vector<kind_digest> digests; // a receiver whose own state stays older does not get changes from the object API
     std::vector<std::uint32_t> recentRouters; // name keys of live routers; not in every heartbeat
+    std::vector<part_evidence> evidence; // on prompt parts that crash engines, from all routers
 };
 
 /// Encodes a heartbeat. Counts above 16 bits are clamped, and pending prefill tokens are rounded up to a multiple of 64.
@@ -64,6 +69,9 @@
 /// @throws std::exception with a reason if the body is not a message.
 gossip_message decodeGossipMessage(const std::string &body);
 
+/// A JSON list of parts with their standing, crashes and the time that is left, for operators.
+std::string encodeQuarantine(const std::vector<part_verdict> &verdicts);
+
 std::string encodeSnapshot(const kind_snapshot &snapshot);
 
 /// @throws std::exception with a reason if the text is not a snapshot.
--- a/programs/serving/event_stream.cpp
+++ b/programs/serving/event_stream.cpp
@@ -36,7 +36,7 @@
     m_unfinishedBytes = 0;
     m_isLineEmpty = true;
     m_hasField = false;
-    m_hasEvent = false;
+    m_events = 0;
 }
 
 std::optional<std::size_t> event_stream::scan(std::string_view bytes)
@@ -50,7 +50,7 @@
         }
         if (m_isLineEmpty) {
             m_unfinishedBytes = 0;
-            m_hasEvent = m_hasEvent || m_hasField;
+            m_events += m_hasField ? 1 : 0;
             m_hasField = false;
             return i + 1;
         }
--- a/programs/serving/event_stream.h
+++ b/programs/serving/event_stream.h
@@ -30,11 +30,17 @@
         return m_unfinishedBytes;
     }
 
+    /// Number of complete events of this attempt. Comments alone are no event.
+    std::uint64_t events() const
+    {
+        return m_events;
+    }
+
     /// @return False if the stream was broken off, now that its upstream has ended it: within an event, or without any event if
     /// nothing but the end of the connection says that the stream is over.
     bool isWhole(answer_framing framing) const
     {
-        return m_unfinishedBytes == 0 && (m_hasEvent || framing != answer_framing::connection);
+        return m_unfinishedBytes == 0 && (m_events > 0 || framing != answer_framing::connection);
     }
 
     /// The unfinished event exceeds serving_limits::maxEventBytes: the input is not a valid event stream.
@@ -61,7 +67,7 @@
     std::uint64_t m_unfinishedBytes = 0;
     bool m_isLineEmpty = true; // no byte of a line was scanned since the last end of a line
     bool m_hasField = false; // in the unfinished event; comments are no fields
-    bool m_hasEvent = false; // of this attempt; comments alone are no event
+    std::uint64_t m_events = 0; // as events()
     std::optional<std::uint64_t> m_lastEventId; // never decreases
 };
 
--- a/programs/serving/http_client.cpp
+++ b/programs/serving/http_client.cpp
@@ -67,6 +67,7 @@
     case attempt_failure::unreachable:
         return "no connection";
     case attempt_failure::lost:
+    case attempt_failure::silent:
         return "connection lost";
     default:
         return "not an answer";
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "serving/client_connection.h"
+#include "serving/connection_check.h"
 #include "serving/connection_pool.h"
 #include "serving/event_queue.h"
 #include "serving/event_stream.h"
@@ -99,6 +100,12 @@
         return m_reducer.takePrompts();
     }
 
+    /// As entry_core::takeEvidence().
+    std::vector<part_evidence> takeEvidence()
+    {
+        return m_reducer.takeEvidence(m_observer.now());
+    }
+
     std::size_t callerConnections() const
     {
         return m_clients.size();
@@ -129,6 +136,7 @@
         answer_summary answer; // decoded from answerHead
         std::string answerBody; // received but not forwarded yet
         bool carriesEvents = false; // the answer is a stream of events
+        bool isProgressReported = false; // answer_progressed was posted for the running attempt
         bool isAnswerReported = false; // answer_received was posted for the running attempt
         bool isRelaying = false; // the head of the answer was sent to the caller
         bool isChunked = false; // the answer is sent to the caller with chunked transfer coding
@@ -144,6 +152,7 @@
     void carryOut(const entry_effect::stop_attempt &stopped);
     void carryOut(const entry_effect::relay_answer &relayed);
     void carryOut(const entry_effect::list_held_parts &listed);
+    void carryOut(const entry_effect::check_upstream &check);
     void carryOut(const entry_effect::refuse &refused);
     void carryOut(const entry_effect::cut_answer &answer);
     void carryOut(const exchange_report &report);
@@ -157,6 +166,8 @@
     static bool isEventStream(const http_head &head, bool isStreamExpected);
     /// Posts answer_received. The reducer may end the exchange: find it again afterwards.
     void reportAnswer(exchange_id id, exchange_state &state);
+    /// Posts answer_progressed once enough of the stream was received.
+    void reportProgress(exchange_id id, exchange_state &state);
     /// Sends the buffered body to the caller, and pauses reading from the upstream if the caller is slow (backpressure).
     void forwardBody(exchange_state &state);
     /// Ends the attempt's use of its connection, which returns to the pool if reusable.
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -130,6 +130,7 @@
     state->isStream = attempt.isStream;
     state->isResumable = attempt.isResumable;
     state->isAnswerReported = false;
+    state->isProgressReported = false;
     state->answerBody.clear();
     state->eventStream.startAttempt();
     state->upstreamKey = attempt.instance + '@' + attempt.address;
@@ -233,6 +234,16 @@
     }
     if (state != nullptr && state->isRelaying && state->isAnswerReported) {
         forwardBody(*state);
+        reportProgress(id, *state);
+    }
+}
+
+template<request_codec Codec>
+void serving_core<Codec>::reportProgress(exchange_id id, exchange_state &state)
+{
+    if (!state.isProgressReported && state.eventStream.events() >= serving_limits::eventsPastStart) {
+        state.isProgressReported = true;
+        post(entry_event::answer_progressed {id});
     }
 }
 
@@ -325,7 +336,7 @@
     const answer_end end = endOf(*state);
     state->upstream.reset();
     if (state->isRelaying && state->isAnswerReported) {
-        post(entry_event::stream_broken {id, end});
+        post(entry_event::stream_broken {id, failure, end});
         return;
     }
     post(entry_event::attempt_failed {id, failure});
@@ -384,6 +395,19 @@
     m_observer.listHeldParts(listed);
 }
 
+template<request_codec Codec>
+void serving_core<Codec>::carryOut(const entry_effect::check_upstream &check)
+{
+    const auto peer = parseEndpoint(check.address);
+    if (!peer) {
+        post(entry_event::upstream_checked {check.upstream, false});
+        return;
+    }
+    checkConnection(m_context, *peer, serving_limits::connectTimeout, [this, upstream = check.upstream](bool isRefused) {
+        post(entry_event::upstream_checked {upstream, isRefused});
+    });
+}
+
 template<request_codec Codec>
 void serving_core<Codec>::carryOut(const exchange_report &report)
 {
--- a/programs/serving/serving_limits.h
+++ b/programs/serving/serving_limits.h
@@ -4,6 +4,7 @@
 #include <nutmegtally/time.h>
 
 #include <cstddef>
+#include <cstdint>
 
 namespace nutmegtally::serving_limits
 {
@@ -14,6 +15,7 @@
 inline constexpr std::size_t maxAnswerHeadBytes = 65'536; // head of an upstream's answer
 inline constexpr std::size_t maxChunkFramingBytes = 4096; // one chunk's size line with its extension, or a trailer section
 inline constexpr unsigned maxSkippedAnswers = 8; // interim (1xx) answers and answers to other requests before the expected one
+inline constexpr std::uint64_t eventsPastStart = 2; // events of a stream with which its upstream has got past the beginning
 inline constexpr std::size_t maxEventBytes = 262'144; // one event of a stream that another upstream can resume
 inline constexpr std::size_t maxCallAnswerBytes = 8'388'608; // an object API page takes 1 MB, the gossip of a whole fleet a few MB
 inline constexpr duration maxCallDuration = 10s; // a call's answer from its first body byte on, even if data keeps arriving
--- a/programs/serving/upstream_connection.cpp
+++ b/programs/serving/upstream_connection.cpp
@@ -103,7 +103,8 @@
                 self->answerDone();
                 return;
             }
-            self->fail(attempt_failure::lost);
+            const bool isEndedByPeer = fault == boost::asio::error::eof || fault == boost::asio::error::connection_reset;
+            self->fail(isEndedByPeer ? attempt_failure::lost : attempt_failure::silent);
         });
 }
 
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -3,6 +3,7 @@
 #include <nutmegtally/entry_core.h>
 #include <nutmegtally/ids.h>
 #include <nutmegtally/log_line.h>
+#include <nutmegtally/router_rank.h>
 
 #include <algorithm>
 
@@ -58,6 +59,32 @@
     }
 }
 
+refusal_reason reasonFor(placement_outcome outcome)
+{
+    switch (outcome) {
+    case placement_outcome::noneListed:
+        return refusal_reason::noUpstream;
+    case placement_outcome::quarantined:
+    case placement_outcome::onTrial:
+        return refusal_reason::quarantined;
+    default:
+        return refusal_reason::noRoom;
+    }
+}
+
+/// The shared parts of prompts in hexadecimal, separated by commas; at most limits::maxLoggedParts.
+std::string sharedPartsText(const std::vector<prompt_parts> &prompts)
+{
+    std::string text;
+    std::size_t left = limits::maxLoggedParts;
+    for (const prompt_parts &prompt : prompts) {
+        for (std::size_t i = 0; i + 1 < prompt.size() && left > 0; ++i, --left) {
+            text.append(text.empty() ? "" : ",").append(toHex(prompt[i].id));
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 log_line entry_core::attemptLogLine(time_point now, const exchange &work) const
@@ -79,6 +106,7 @@
     : m_options(std::move(options))
     , m_upstreams(m_options.domain, m_options.mechanisms)
     , m_cacheRecovery(m_options.queriesCaches && m_options.mechanisms.has(mechanism::cacheQueries))
+    , m_quarantine(hashText(m_options.name))
 {
     m_upstreams.setRouters(m_options.name, {});
 }
@@ -145,6 +173,7 @@
 {
     const std::size_t before = m_upstreams.routers();
     m_upstreams.setRouters(m_options.name, input.live);
+    m_quarantine.setRouters(hashesOf(input.live));
     log_line line;
     line.with("live", m_upstreams.routers()).with("previous", before);
     effects.push_back(record(log_event::routersChanged, line));
@@ -202,6 +231,9 @@
 
 bool entry_core::place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
 {
+    if (!passesQuarantine(now, id, work)) {
+        return false;
+    }
     if (m_unverifiedUntil && now < *m_unverifiedUntil) {
         work.lastPlacement = placement_outcome::unverified;
         return false;
@@ -214,7 +246,8 @@
     const prompt_parts &parts = work.route->carriesPrompt ? work.request.parts : noParts;
     placement_query wanted;
     wanted.service = work.service;
-    wanted.parts = work.route->carriesPrompt ? &parts : nullptr;
+    // A suspected prompt goes where the fewest requests would be lost with the engine, wherever it is cached.
+    wanted.parts = work.route->carriesPrompt && !work.isSuspected ? &parts : nullptr;
     wanted.tieBreak = hashText(work.request.requestId, work.sends);
     wanted.tried = &work.tried;
     const placement choice = m_upstreams.choose(wanted, *work.rules, now);
@@ -233,6 +266,7 @@
     work.tried.push_back(choice.upstream);
     work.sentAt = now;
     work.awaitsFirstEvent = true;
+    work.isPastStart = false;
     work.wasOverdue = false;
     work.prefillTokens = choice.prefillTokens;
     m_upstreams.start(choice.upstream, parts, work.prefillTokens, work.request.promptTokens + work.request.outputTokens, now);
@@ -279,8 +313,13 @@
     if (place(now, id, work, effects)) {
         return;
     }
-    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
-                       || work.lastPlacement == placement_outcome::unverified || work.lastPlacement == placement_outcome::cachesUnknown
+    if (work.lastPlacement == placement_outcome::quarantined) {
+        refuse(now, id, work, refusal_reason::quarantined, effects);
+        return;
+    }
+    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::onTrial
+                       || work.lastPlacement == placement_outcome::allCold || work.lastPlacement == placement_outcome::unverified
+                       || work.lastPlacement == placement_outcome::cachesUnknown
                        || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.queueUntil);
     if (waits && m_options.mechanisms.has(mechanism::queueing) && work.sends == 0 && m_waiting.size() < limits::queueLimit
         && now < work.queueUntil) {
@@ -292,8 +331,7 @@
         refuse(now, id, work, work.lastFailure, effects);
         return;
     }
-    refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal_reason::noUpstream : refusal_reason::noRoom,
-           effects);
+    refuse(now, id, work, reasonFor(work.lastPlacement), effects);
 }
 
 void entry_core::placeWaiting(time_point now, std::vector<effect> &effects)
@@ -317,9 +355,15 @@
         if (found == m_exchanges.end() || found->second.state != phase::waiting) {
             continue;
         }
-        if (!place(now, id, found->second, effects)) {
-            remaining.push_back(id);
+        exchange &work = found->second;
+        if (place(now, id, work, effects)) {
+            continue;
+        }
+        if (work.lastPlacement == placement_outcome::quarantined) {
+            refuse(now, id, work, refusal_reason::quarantined, effects);
+            continue;
         }
+        remaining.push_back(id);
     }
     m_waiting = std::move(remaining);
 }
@@ -425,6 +469,7 @@
         m_upstreams.recordResult(work.upstream, attempt_result::succeeded, now);
     }
     work.state = phase::relaying;
+    work.isSuccess = isSuccess;
     effects.push_back(entry_effect::relay_answer {input.exchange});
 }
 
@@ -439,6 +484,7 @@
     line.with("failure", nameOf(input.failure));
     effects.push_back(record(log_event::attemptFailed, line));
     const bool wasSent = input.failure != attempt_failure::unreachable;
+    checkUpstream(work, input.failure, effects);
     endAttempt(now, work, wasSent ? attempt_result::lost : attempt_result::unreachable);
     work.state = phase::waiting;
     if (!wasSent) {
@@ -454,7 +500,9 @@
             return;
         }
     }
-    placeOrWait(now, input.exchange, work, effects);
+    if (work.checkedUpstream == noUpstreamNumber) {
+        placeOrWait(now, input.exchange, work, effects);
+    }
 }
 
 void entry_core::on(time_point now, const entry_event::stream_broken &input, std::vector<effect> &effects)
@@ -467,11 +515,12 @@
     log_line line = attemptLogLine(now, work);
     addAnswerEnd(line, input.end);
     effects.push_back(record(log_event::streamBroken, line));
+    checkUpstream(work, input.failure, effects);
     endAttempt(now, work, attempt_result::lost);
     if (m_options.mechanisms.has(mechanism::streamResumption) && work.route->isResumable && mayRetry(now, work, effects)) {
         work.isResume = true;
         work.state = phase::waiting;
-        if (place(now, input.exchange, work, effects)) {
+        if (work.checkedUpstream != noUpstreamNumber || place(now, input.exchange, work, effects)) {
             return;
         }
     }
@@ -485,6 +534,9 @@
         return;
     }
     exchange &work = found->second;
+    if (work.isSuccess) {
+        recordSurvival(now, work, effects);
+    }
     endAttempt(now, work, attempt_result::unknown);
     log_line line;
     line.with("request", work.request.requestId)
@@ -498,6 +550,132 @@
     placeWaiting(now, effects);
 }
 
+bool entry_core::passesQuarantine(time_point now, exchange_id id, exchange &work)
+{
+    if (!work.route->carriesPrompt || !m_options.mechanisms.has(mechanism::promptQuarantine)) {
+        return true;
+    }
+    const part_verdict verdict = m_quarantine.judge(work.request.parts, now);
+    work.quarantinedFor = verdict.quarantinedFor;
+    work.isSuspected = verdict.standing == part_standing::suspected;
+    if (verdict.standing == part_standing::clear) {
+        return true;
+    }
+    if (verdict.standing == part_standing::quarantined) {
+        work.lastPlacement = placement_outcome::quarantined;
+        return false;
+    }
+    exchange_id &trial = m_trials[verdict.part];
+    const auto found = m_exchanges.find(trial);
+    const exchange *running = found == m_exchanges.end() || trial == id ? nullptr : &found->second;
+    const bool isUndecided = running != nullptr && !running->isPastStart
+                             && (running->state != phase::waiting || running->checkedUpstream != noUpstreamNumber);
+    if (isUndecided) {
+        work.lastPlacement = placement_outcome::onTrial;
+        return false;
+    }
+    trial = id;
+    return true;
+}
+
+void entry_core::recordSurvival(time_point now, const exchange &work, std::vector<effect> &effects)
+{
+    if (work.route->carriesPrompt) {
+        m_quarantine.recordSurvival(work.request.parts, now);
+        logQuarantine(effects);
+    }
+}
+
+void entry_core::checkUpstream(exchange &work, attempt_failure failure, std::vector<effect> &effects)
+{
+    const upstream_entry *upstream = m_upstreams.find(work.upstream);
+    const bool mayHaveCrashed = failure == attempt_failure::lost && work.route->carriesPrompt && !work.isPastStart && upstream != nullptr;
+    if (!mayHaveCrashed || !m_options.mechanisms.has(mechanism::promptQuarantine)) {
+        return;
+    }
+    const auto [check, isNew] = m_checks.try_emplace(work.upstream);
+    if (isNew) {
+        check->second.instance = upstream->record.instance;
+        check->second.crash = crashIdOf(upstream->record.instance, upstream->record.incarnation);
+        effects.push_back(entry_effect::check_upstream {work.upstream, upstream->record.address});
+    }
+    check->second.prompts.push_back(work.request.parts);
+    if (!m_quarantine.isProven(work.request.parts)) {
+        work.checkedUpstream = work.upstream;
+    }
+}
+
+void entry_core::followCheck(time_point now, exchange_id id, exchange &work, bool isDown, std::vector<effect> &effects)
+{
+    work.checkedUpstream = noUpstreamNumber;
+    if (isDown) {
+        refuse(now, id, work, refusal_reason::upstreamFailed, effects); // it might crash the next upstream too
+    } else if (!work.isResume) {
+        placeOrWait(now, id, work, effects);
+    } else if (!place(now, id, work, effects)) {
+        cut(now, id, work, "stream_broken", effects);
+    }
+}
+
+void entry_core::on(time_point now, const entry_event::answer_progressed &input, std::vector<effect> &effects)
+{
+    const auto found = m_exchanges.find(input.exchange);
+    if (found == m_exchanges.end() || found->second.state != phase::relaying) {
+        return;
+    }
+    found->second.isPastStart = true;
+    recordSurvival(now, found->second, effects);
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::upstream_checked &input, std::vector<effect> &effects)
+{
+    const auto found = m_checks.find(input.upstream);
+    if (found == m_checks.end()) {
+        return;
+    }
+    const upstream_check check = std::move(found->second);
+    m_checks.erase(found);
+    if (input.isDown) {
+        log_line line;
+        line.with("upstream", check.instance).with("prompts", check.prompts.size()).with("parts", sharedPartsText(check.prompts));
+        effects.push_back(record(log_event::upstreamCrashed, line));
+        m_quarantine.recordCrash(check.crash, check.prompts, now);
+        m_upstreams.recordResult(input.upstream, attempt_result::unreachable, now);
+        logQuarantine(effects);
+    }
+    for (const exchange_id id : openIds()) {
+        const auto waiting = m_exchanges.find(id);
+        if (waiting != m_exchanges.end() && waiting->second.checkedUpstream == input.upstream) {
+            followCheck(now, id, waiting->second, input.isDown, effects);
+        }
+    }
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::part_evidence_received &input, std::vector<effect> &effects)
+{
+    m_quarantine.merge(input.evidence, now);
+    logQuarantine(effects);
+}
+
+void entry_core::on(time_point now, const entry_event::part_released &input, std::vector<effect> &effects)
+{
+    m_quarantine.release(input.part, now);
+    logQuarantine(effects);
+    placeWaiting(now, effects);
+}
+
+void entry_core::logQuarantine(std::vector<effect> &effects)
+{
+    for (const part_verdict &verdict : m_quarantine.takeChanges()) {
+        log_line line;
+        line.with("part", toHex(verdict.part)).with("crashes", verdict.crashes).with("for_ms", verdict.quarantinedFor);
+        effects.push_back(
+            record(verdict.standing == part_standing::quarantined ? log_event::partQuarantined : log_event::partReleased, line));
+    }
+}
+
 void entry_core::on(time_point now, const entry_event::caller_left &input, std::vector<effect> &effects)
 {
     const auto found = m_exchanges.find(input.exchange);
@@ -601,14 +779,12 @@
         line.with("upstream", instance).with("grace_ms", 0);
         effects.push_back(record(log_event::upstreamUnlisted, line));
     }
+    m_quarantine.tick(now);
+    logQuarantine(effects);
+    std::erase_if(m_trials, [this](const auto &trial) { return !m_exchanges.contains(trial.second); });
     queryCaches(now, effects);
     placeWaiting(now, effects);
-    std::vector<exchange_id> ids;
-    ids.reserve(m_exchanges.size());
-    for (const auto &[id, work] : m_exchanges) {
-        ids.push_back(id);
-    }
-    for (const exchange_id id : ids) {
+    for (const exchange_id id : openIds()) {
         const auto found = m_exchanges.find(id);
         if (found != m_exchanges.end()) {
             checkTimeouts(now, id, found->second, effects);
@@ -616,12 +792,21 @@
     }
 }
 
+std::vector<exchange_id> entry_core::openIds() const
+{
+    std::vector<exchange_id> ids;
+    ids.reserve(m_exchanges.size());
+    for (const auto &[id, work] : m_exchanges) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 void entry_core::checkTimeouts(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
 {
     if (work.state == phase::waiting) {
-        if (now >= work.queueUntil) {
-            refuse(now, id, work, work.lastPlacement == placement_outcome::noneListed ? refusal_reason::noUpstream : refusal_reason::noRoom,
-                   effects);
+        if (now >= (work.checkedUpstream == noUpstreamNumber ? work.queueUntil : work.timeoutAt)) {
+            refuse(now, id, work, reasonFor(work.lastPlacement), effects);
         }
         return;
     }
@@ -676,6 +861,9 @@
     if (answer.retryAfter && work.lastPlacement == placement_outcome::allPaused) {
         answer.retryAfter = std::max(*answer.retryAfter, work.pausedUntil - now);
     }
+    if (reason == refusal_reason::quarantined) {
+        answer.retryAfter = std::max(limits::retryAfterSuspicion, work.quarantinedFor);
+    }
     effects.push_back(answer);
     log_line line;
     line.with("request", work.request.requestId)
--- a/src/limits.h
+++ b/src/limits.h
@@ -160,6 +160,22 @@
 inline constexpr int neutralPriority = 5; // what an engine assumes for a request without a priority
 inline constexpr duration minAttemptTime = 20ms; // a request with less time left cannot be answered
 
+// Quarantine of prompt parts that crash engines.
+inline constexpr unsigned minQuarantineCrashes = 2; // engines; one crash may have another cause
+// A short first term: a part that shared two crashes by chance is soon tried again, at the price of one engine if it is guilty.
+inline constexpr duration quarantineTerms[] = {8s, 60s, 10min}; // after minQuarantineCrashes, one more, and further ones
+inline constexpr unsigned crashesOutweighedBySurvival = 2;
+inline constexpr duration quarantineTrialStagger = 2s; // between the trials of two routers after a quarantine
+inline constexpr duration crashLifetime = 1h; // longer than the longest term, so that the trial after it ends with one crash
+inline constexpr duration quarantineSweepInterval = 1s; // between two removals of old evidence
+inline constexpr duration survivalShareTime = 5s; // that a cleared part is told to other routers; covers lost heartbeats
+inline constexpr std::size_t maxCrashesPerPart = 8;
+inline constexpr std::size_t maxSuspectedParts = 256;
+inline constexpr std::size_t maxSharedEvidence = 64; // parts in a heartbeat; five kilobytes
+inline constexpr std::size_t maxSurvivedParts = 8192; // remembered survivals; about 300 KB
+inline constexpr std::size_t maxLoggedParts = 16; // in one line of the log
+inline constexpr duration retryAfterSuspicion = 500ms; // another request with the part has been answered by then, or was its end
+
 // Watching the platform's objects, and gossip between routers.
 inline constexpr duration minCallBackoff = 60ms; // after a failed call to the object API; doubles
 inline constexpr duration maxCallBackoff = 1s; // each call is charged, also a refused one
--- /dev/null
+++ b/src/prompt_quarantine.cpp
@@ -0,0 +1,311 @@
+#include "limits.h"
+
+#include <nutmegtally/ids.h>
+#include <nutmegtally/prompt_quarantine.h>
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <unordered_set>
+#include <utility>
+
+namespace nutmegtally
+{
+
+namespace
+{
+
+/// Length of a quarantine after so many crashes of engines.
+duration termAfter(unsigned crashes)
+{
+    constexpr std::size_t levels = std::size(limits::quarantineTerms);
+    if (crashes < limits::minQuarantineCrashes) {
+        return duration(0);
+    }
+    return limits::quarantineTerms[std::min<std::size_t>(crashes - limits::minQuarantineCrashes, levels - 1)];
+}
+
+/// An engine that survived a part once weighs as much as some crashes: the part was in a prompt that crashed it by another one.
+unsigned suspicion(std::size_t crashes, bool isProven)
+{
+    const auto count = static_cast<unsigned>(crashes);
+    return isProven ? count - std::min(count, limits::crashesOutweighedBySurvival) : count;
+}
+
+} // namespace
+
+crash_id crashIdOf(std::string_view instance, std::uint64_t incarnation)
+{
+    return static_cast<crash_id>(hashText(instance, incarnation) >> 32);
+}
+
+std::vector<std::uint64_t> prompt_quarantine::sharedParts(const prompt_parts &prompt)
+{
+    std::vector<std::uint64_t> parts;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        parts.push_back(prompt[i].id);
+    }
+    return parts;
+}
+
+std::optional<time_point> prompt_quarantine::survivalOf(std::uint64_t part) const
+{
+    for (const auto *generation : {&m_survivals, &m_olderSurvivals}) {
+        if (const auto found = generation->find(part); found != generation->end()) {
+            return found->second;
+        }
+    }
+    return std::nullopt;
+}
+
+bool prompt_quarantine::isProven(const prompt_parts &prompt) const
+{
+    const std::vector<std::uint64_t> parts = sharedParts(prompt);
+    return std::all_of(parts.begin(), parts.end(), [this](std::uint64_t part) { return survivalOf(part).has_value(); });
+}
+
+bool prompt_quarantine::addCrash(std::uint64_t part, std::uint32_t depth, crash_id id, time_point at)
+{
+    const auto [found, isNew] = m_records.try_emplace(part);
+    part_record &record = found->second;
+    if (isNew) {
+        record.survivedAt = survivalOf(part);
+    }
+    record.depth = std::max(record.depth, depth);
+    if ((record.survivedAt && at <= *record.survivedAt) || !record.crashes.try_emplace(id, at).second) {
+        return false;
+    }
+    if (record.crashes.size() > limits::maxCrashesPerPart) {
+        record.crashes.erase(std::min_element(record.crashes.begin(), record.crashes.end(),
+                                              [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+    return true;
+}
+
+bool prompt_quarantine::addSurvival(std::uint64_t part, time_point at)
+{
+    if (const std::optional<time_point> known = survivalOf(part); known && *known >= at) {
+        return false;
+    }
+    m_survivals[part] = at;
+    if (m_survivals.size() > limits::maxSurvivedParts / 2) {
+        m_olderSurvivals = std::move(m_survivals);
+        m_survivals.clear();
+    }
+    const auto found = m_records.find(part);
+    if (found == m_records.end()) {
+        return false;
+    }
+    part_record &record = found->second;
+    record.survivedAt = at;
+    return std::erase_if(record.crashes, [at](const auto &crash) { return crash.second <= at; }) > 0;
+}
+
+void prompt_quarantine::recordCrash(crash_id id, const std::vector<prompt_parts> &prompts, time_point now)
+{
+    bool isNews = false;
+    for (const prompt_parts &prompt : prompts) {
+        const std::vector<std::uint64_t> parts = sharedParts(prompt);
+        for (std::size_t depth = 0; depth < parts.size(); ++depth) {
+            isNews = addCrash(parts[depth], static_cast<std::uint32_t>(depth), id, now) || isNews;
+        }
+    }
+    noteNews(isNews, now);
+}
+
+void prompt_quarantine::recordSurvival(const prompt_parts &prompt, time_point now)
+{
+    bool isNews = false;
+    for (const std::uint64_t part : sharedParts(prompt)) {
+        isNews = addSurvival(part, now) || isNews;
+    }
+    noteNews(isNews, now);
+}
+
+void prompt_quarantine::release(std::uint64_t part, time_point now)
+{
+    std::vector<std::uint64_t> released {part};
+    if (const auto found = m_records.find(part); found != m_records.end()) {
+        for (const auto &[other, record] : m_records) {
+            const bool sharesCrash = std::any_of(record.crashes.begin(), record.crashes.end(),
+                                                 [&](const auto &crash) { return found->second.crashes.contains(crash.first); });
+            if (sharesCrash && other != part) {
+                released.push_back(other);
+            }
+        }
+    }
+    bool isNews = false;
+    for (const std::uint64_t each : released) {
+        isNews = addSurvival(each, now) || isNews;
+    }
+    noteNews(isNews, now);
+}
+
+void prompt_quarantine::merge(const std::vector<part_evidence> &evidence, time_point now)
+{
+    bool isNews = false;
+    for (const part_evidence &each : evidence) {
+        isNews = (each.survivalAge && addSurvival(each.part, now - *each.survivalAge)) || isNews;
+        for (const part_evidence::crash &crash : each.crashes) {
+            isNews = addCrash(each.part, each.depth, crash.id, now - crash.age) || isNews;
+        }
+    }
+    noteNews(isNews, now);
+}
+
+void prompt_quarantine::noteNews(bool isNews, time_point now)
+{
+    if (isNews) {
+        m_hasNews = true;
+        attribute(now);
+    }
+}
+
+void prompt_quarantine::tick(time_point now)
+{
+    if (!m_records.empty() && now >= m_nextSweepAt) {
+        m_nextSweepAt = now + limits::quarantineSweepInterval;
+        attribute(now);
+    }
+}
+
+void prompt_quarantine::expire(time_point now)
+{
+    for (auto &[part, record] : m_records) {
+        std::erase_if(record.crashes, [now](const auto &crash) { return now - crash.second >= limits::crashLifetime; });
+    }
+    std::erase_if(m_records, [now](const auto &each) {
+        const part_record &record = each.second;
+        const bool isTold = !record.survivedAt || now - *record.survivedAt >= limits::survivalShareTime;
+        return record.crashes.empty() && record.reported == 0 && isTold;
+    });
+    while (m_records.size() > limits::maxSuspectedParts) {
+        m_records.erase(std::min_element(m_records.begin(), m_records.end(), [](const auto &a, const auto &b) {
+            return std::tie(a.second.unexplained, a.second.lastCrashAt) < std::tie(b.second.unexplained, b.second.lastCrashAt);
+        }));
+    }
+}
+
+void prompt_quarantine::attribute(time_point now)
+{
+    std::vector<std::pair<const std::uint64_t, part_record> *> order;
+    for (auto &each : m_records) {
+        order.push_back(&each);
+    }
+    // Of parts that were in the same crashes, the one that no engine ever survived, and then the one that fewer prompts share.
+    const auto gravity = [](const auto *each) {
+        const part_record &record = each->second;
+        return std::tuple(suspicion(record.crashes.size(), record.survivedAt.has_value()), !record.survivedAt.has_value(), record.depth,
+                          each->first);
+    };
+    std::sort(order.begin(), order.end(), [&](const auto *a, const auto *b) { return gravity(a) > gravity(b); });
+    std::unordered_set<crash_id> explained;
+    for (auto *each : order) {
+        part_record &record = each->second;
+        record.unexplained = static_cast<unsigned>(std::count_if(record.crashes.begin(), record.crashes.end(),
+                                                                 [&](const auto &crash) { return !explained.contains(crash.first); }));
+        for (const auto &[id, at] : record.crashes) {
+            record.lastCrashAt = std::max(record.lastCrashAt, at);
+        }
+        record.term = termAfter(suspicion(record.unexplained, record.survivedAt.has_value()));
+        if (record.term == duration(0)) {
+            if (std::exchange(record.reported, 0) > 0) {
+                m_changes.push_back(verdictOn(each->first, record, now));
+            }
+            continue;
+        }
+        for (const auto &[id, at] : record.crashes) {
+            explained.insert(id);
+        }
+        if (record.unexplained > record.reported) {
+            record.reported = record.unexplained;
+            m_changes.push_back(verdictOn(each->first, record, now));
+        }
+    }
+    expire(now);
+}
+
+part_verdict prompt_quarantine::verdictOn(std::uint64_t part, const part_record &record, time_point now) const
+{
+    part_verdict verdict {part, part_standing::clear, record.unexplained};
+    if (record.term == duration(0)) {
+        verdict.standing
+            = suspicion(record.unexplained, record.survivedAt.has_value()) > 0 ? part_standing::suspected : part_standing::clear;
+        return verdict;
+    }
+    const std::uint64_t own = mixHash(m_self, part);
+    const auto ahead = std::count_if(m_routers.begin(), m_routers.end(), [&](std::uint64_t each) { return mixHash(each, part) < own; });
+    const time_point end = record.lastCrashAt + record.term + ahead * limits::quarantineTrialStagger;
+    verdict.standing = now < end ? part_standing::quarantined : part_standing::suspected;
+    verdict.quarantinedFor = std::max(duration(0), end - now);
+    return verdict;
+}
+
+part_verdict prompt_quarantine::judge(const prompt_parts &prompt, time_point now) const
+{
+    part_verdict gravest;
+    if (m_records.empty()) {
+        return gravest;
+    }
+    for (const std::uint64_t part : sharedParts(prompt)) {
+        const auto found = m_records.find(part);
+        if (found == m_records.end()) {
+            continue;
+        }
+        const part_verdict verdict = verdictOn(part, found->second, now);
+        if (std::tie(verdict.standing, verdict.quarantinedFor) > std::tie(gravest.standing, gravest.quarantinedFor)) {
+            gravest = verdict;
+        }
+    }
+    return gravest;
+}
+
+std::vector<part_evidence> prompt_quarantine::evidence(time_point now) const
+{
+    std::vector<const part_records::value_type *> order;
+    for (const auto &each : m_records) {
+        const part_record &record = each.second;
+        const bool isRecentlyCleared = record.survivedAt && now - *record.survivedAt < limits::survivalShareTime;
+        if (!record.crashes.empty() || isRecentlyCleared) {
+            order.push_back(&each);
+        }
+    }
+    if (order.size() > limits::maxSharedEvidence) {
+        std::sort(order.begin(), order.end(), [](const auto *a, const auto *b) {
+            return std::tie(a->second.unexplained, a->second.lastCrashAt) > std::tie(b->second.unexplained, b->second.lastCrashAt);
+        });
+        order.resize(limits::maxSharedEvidence);
+    }
+    std::vector<part_evidence> list;
+    for (const auto *each : order) {
+        const part_record &record = each->second;
+        part_evidence entry {each->first, record.depth, std::nullopt, {}};
+        if (record.survivedAt) {
+            entry.survivalAge = now - *record.survivedAt;
+        }
+        for (const auto &[id, at] : record.crashes) {
+            entry.crashes.push_back({id, now - at});
+        }
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+std::vector<part_verdict> prompt_quarantine::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::vector<part_verdict> prompt_quarantine::verdicts(time_point now) const
+{
+    std::vector<part_verdict> list;
+    for (const auto &[part, record] : m_records) {
+        const part_verdict verdict = verdictOn(part, record, now);
+        if (verdict.standing != part_standing::clear) {
+            list.push_back(verdict);
+        }
+    }
+    return list;
+}
+
+} // namespace nutmegtally
--- a/tests/e2e_entry.py
+++ b/tests/e2e_entry.py
@@ -191,6 +191,45 @@
     assert all(line["name"] != "not json" for router in fleet.routers for line in router.log_lines())
 
 
+def test_promptPart_crashesEngines_isHeldBackByAllRoutersUntilReleased(fleet: Fleet) -> None:
+    crashed = []
+    names = [f"llm-doomed-{i}" for i in range(8)]
+    sound = [name for name in fleet.upstreams if name.startswith("llm-")]
+    for name in names:
+        engine = fleet.add_upstream(name, "llm", "north")
+        engine.deadly_part = "dead"
+        engine.crash = lambda name=name: (crashed.append(name), fleet.proxies[name].close())
+    for name in sound:
+        fleet.set_state(name, "draining")
+    wait_for(lambda: all(any(line.get("upstream") == sound[-1] and line["name"] == "upstream_leaving" for line in router.log_lines())
+                         for router in fleet.routers), 3, "new engines are listed, the others leave")
+
+    def send(number: int, part: str):
+        headers = {**request_headers(f"part-{part}-{number}"), "X-Prompt-Prefix": f"a1:500,{part}:50,{number + 1000:x}:10"}
+        try:
+            return send_request(fleet.routers[number % 2].port, "POST", "/stream-brief/1", headers, b"log")
+        except OSError:
+            return 0, {}, b""  # the stream was cut
+
+    for number in range(12):
+        assert send(number, "50")[0] == 200
+        send(number, "dead")
+    assert 2 <= len(crashed) <= 3, crashed
+    for number in range(2):
+        status, headers, body = send(100 + number, "dead")
+        assert status == 503 and float(headers["retry-after"]) > 1 and body == b"quarantined\n", (status, headers, body)
+        assert b"quarantined_parts 1" in send_request(fleet.routers[number].metrics_port, "GET", "/metrics")[2]
+    path = "/routers/v1/quarantine"
+    listed = json.loads(send_request(fleet.routers[1].peer_port, "GET", path)[2])
+    assert [(each["part"], each["standing"]) for each in listed if each["standing"] == "quarantined"] == [(f"{0xdead:016x}", "quarantined")], listed
+    assert send_request(fleet.routers[0].peer_port, "DELETE", path + "/dead")[0] == 200
+    wait_for(lambda: json.loads(send_request(fleet.routers[1].peer_port, "GET", path)[2]) == [], 2, "released at the other router")
+    for name in names:
+        fleet.store.delete("servers", name)
+    for name in sound:
+        fleet.set_state(name, "ready")
+
+
 def main() -> None:
     fleet = Fleet(BINARY)
     try:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -175,6 +175,8 @@
         self.service_time_s = 0.01
         self.events = 4
         self.event_gap_s = 0.01
+        self.deadly_part = None  # a prompt part on which it crashes when it begins an answer
+        self.crash = None  # called then
         upstream = self
 
         class Handler(socketserver.BaseRequestHandler):
@@ -236,6 +238,9 @@
 
     def stream(self, sock, request_id, head, headers, fault) -> bool:
         sock.sendall(f"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+        if self.deadly_part and f"{self.deadly_part}:" in headers.get("x-prompt-prefix", ""):
+            self.crash()
+            return False
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: {request_id} {number}\n\n"
@@ -297,6 +302,12 @@
                 except OSError:
                     pass
 
+    def close(self) -> None:
+        """Refuses connections from now on, as a process that has ended."""
+        self.server.socket.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.server.shutdown, daemon=True).start()
+        self.reset_all()
+
     def reset_all(self) -> None:
         with self.lock:
             pairs, self.open = self.open, []
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -208,12 +208,94 @@
     const exchange_id id = request("reply", {{1, 100}, {2, 10}});
     const std::string first = sentTo();
     answer(id, 200);
+    apply(entry_event::answer_progressed {id});
     apply(entry_event::stream_broken {id});
     BOOST_REQUIRE(effect<entry_effect::start_attempt>() != nullptr);
     BOOST_TEST(effect<entry_effect::start_attempt>()->isResume);
     BOOST_TEST(sentTo() != first);
 }
 
+BOOST_AUTO_TEST_CASE(streamBrokenAtItsBeginning_byAnEngineThatIsUp_isResumedAtAnotherUpstream)
+{
+    start(3, 0);
+    const exchange_id id = request("reply", {{1, 100}, {2, 10}});
+    const std::string first = sentTo();
+    answer(id, 200);
+    apply(entry_event::stream_broken {id});
+    BOOST_REQUIRE(effect<entry_effect::check_upstream>() != nullptr);
+    BOOST_TEST(sentTo() == "nobody");
+    apply(entry_event::upstream_checked {effect<entry_effect::check_upstream>()->upstream, false});
+    BOOST_REQUIRE(effect<entry_effect::start_attempt>() != nullptr);
+    BOOST_TEST(effect<entry_effect::start_attempt>()->isResume);
+    BOOST_TEST(sentTo() != first);
+}
+
+// Guards against a prompt that crashed an engine being carried to the next one by the router itself.
+BOOST_AUTO_TEST_CASE(streamBrokenAtItsBeginning_byAnEngineThatIsDown_isCut)
+{
+    start(3, 0);
+    const exchange_id id = request("reply", {{1, 100}, {2, 10}});
+    answer(id, 200);
+    apply(entry_event::stream_broken {id});
+    BOOST_REQUIRE(effect<entry_effect::check_upstream>() != nullptr);
+    apply(entry_event::upstream_checked {effect<entry_effect::check_upstream>()->upstream, true});
+    BOOST_TEST(sentTo() == "nobody");
+    BOOST_TEST(effect<entry_effect::cut_answer>() != nullptr);
+}
+
+// Guards against sound requests losing their second attempt with an engine that crashed on another prompt.
+BOOST_AUTO_TEST_CASE(streamBrokenAtItsBeginning_ofAPromptThatEnginesSurvived_isResumedAtOnce)
+{
+    start(3, 0);
+    const exchange_id before = request("reply", {{1, 100}, {2, 10}});
+    answer(before, 200);
+    apply(entry_event::answer_finished {before});
+    const exchange_id id = request("reply", {{1, 100}, {3, 10}});
+    answer(id, 200);
+    apply(entry_event::stream_broken {id});
+    BOOST_TEST(effect<entry_effect::check_upstream>() != nullptr);
+    BOOST_TEST(sentTo() != "nobody");
+}
+
+// A connection that went silent says nothing about the process behind it: a VM without power must not cast suspicion.
+BOOST_AUTO_TEST_CASE(streamBrokenAtItsBeginning_bySilence_checksNoUpstream)
+{
+    start(3, 0);
+    const exchange_id id = request("reply", {{1, 100}, {2, 10}});
+    answer(id, 200);
+    apply(entry_event::stream_broken {id, attempt_failure::silent});
+    BOOST_TEST(effect<entry_effect::check_upstream>() == nullptr);
+    BOOST_TEST(sentTo() != "nobody");
+}
+
+BOOST_AUTO_TEST_CASE(quarantinedPrompt_isRefusedAtOnceAsNotRunWithTheTimeToComeBack)
+{
+    start(3, 0);
+    part_evidence evidence {7, 1, std::nullopt, {{1, 10ms}, {2, 20ms}}};
+    apply(entry_event::part_evidence_received {{evidence}});
+    request("reply", {{1, 100}, {7, 50}, {2, 10}});
+    BOOST_TEST(refusedFor() == "quarantined");
+    const auto *refused = effect<entry_effect::refuse>();
+    BOOST_TEST(infoOf(refused->reason).promisesNotRun);
+    BOOST_TEST((refused->retryAfter.value_or(0ms) > 1s));
+    request("reply", {{1, 100}, {7, 50}}); // the last part of a prompt belongs to its request alone
+    BOOST_TEST(sentTo() != "nobody");
+}
+
+BOOST_AUTO_TEST_CASE(suspectedPrompt_isSentOneRequestAtATime)
+{
+    start(3, 0);
+    apply(entry_event::part_evidence_received {{part_evidence {7, 1, std::nullopt, {{1, 10ms}}}}});
+    const exchange_id first = request("reply", {{1, 100}, {7, 50}, {2, 10}});
+    BOOST_TEST(sentTo() != "nobody");
+    request("reply", {{1, 100}, {7, 50}, {3, 10}});
+    BOOST_TEST(sentTo() == "nobody");
+    BOOST_TEST(refusedFor() == "nothing");
+    answer(first, 200);
+    apply(entry_event::answer_progressed {first});
+    BOOST_TEST(sentTo() != "nobody");
+}
+
 BOOST_AUTO_TEST_CASE(streamBroken_notResumable_isCut)
 {
     start(3, 0);
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -371,6 +371,7 @@
     sent.load = {"domain", {{0x0102030400000000, 2, 640}}, {{4, {5, 6}}}, {{9, 10}}, load_scope::domain};
     sent.digests = {{"config", 7, 8}};
     sent.recentRouters = {11, 0xffffffff};
+    sent.evidence = {{7, 1, std::nullopt, {{12, 30ms}, {0xffffffff, 1h}}}, {0xfffffffffffffff0, 0, 2s, {}}};
     const std::string bytes = encodeHeartbeat(sent);
     const router_heartbeat read = decodeHeartbeat(bytes.data(), bytes.size());
     BOOST_TEST(read.name == "a");
@@ -387,6 +388,7 @@
     BOOST_TEST(read.load.prompts.at(0).parts.at(1) == 6U);
     BOOST_TEST(read.digests.at(0).hash == 8U);
     BOOST_TEST((read.load.leaving == sent.load.leaving));
+    BOOST_TEST((read.evidence == sent.evidence));
     BOOST_CHECK_THROW(decodeHeartbeat("\x93garbage", 8), std::exception);
 }
 
