Quarantine: crashes that coincide count once, three of them are needed, and routers try a suspected part in turn

Change: engines that crash within 150 ms count as one occasion, as a rack or a domain may have failed; a quarantine needs three occasions; until then routers try the part one after the other, 0.3 s apart, instead of all at once.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -399,7 +399,7 @@
         bool isSuccess = false; // the answer that is being relayed has a status of success
         upstream_number checkedUpstream = noUpstreamNumber; // until the check of it has ended, the request is not sent again
         bool isSuspected = false; // a part of the prompt is suspected to crash engines
-        duration quarantinedFor {0}; // with placement_outcome::quarantined
+        duration heldFor {0}; // with placement_outcome::quarantined
         refusal_reason lastFailure = refusal_reason::noUpstream; // reason of a refusal if there is no further attempt
         std::optional<refusal_reason> mayHaveRun; // set once the outcome of an attempt is unknown; replaces reasons that promise "not run"
     };
--- a/include/nutmegtally/prompt_quarantine.h
+++ b/include/nutmegtally/prompt_quarantine.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace nutmegtally
@@ -40,7 +41,7 @@
 
 enum class part_standing : std::uint8_t {
     clear,
-    suspected, // one request at a time, until an engine gets past its beginning
+    suspected, // one router and one request at a time, until an engine gets past its beginning
     quarantined, // no requests
     count
 };
@@ -59,8 +60,8 @@
 struct part_verdict {
     std::uint64_t part = 0;
     part_standing standing = part_standing::clear;
-    unsigned crashes = 0; // of engines, that no other part explains
-    duration quarantinedFor {0}; // that is left
+    unsigned crashes = 0; // that no other part explains; engines that crash together count once
+    duration heldFor {0}; // until this router may try a request with it
 };
 
 /// The last part of a prompt belongs to its request alone and is never considered.
@@ -73,7 +74,7 @@
     {
     }
 
-    /// @param routers Hashes of the names of the live routers. After a quarantine they try its part one after the other.
+    /// @param routers Hashes of the names of the live routers. They try a suspected part one after the other.
     void setRouters(std::vector<std::uint64_t> routers)
     {
         m_routers = std::move(routers);
@@ -140,6 +141,8 @@
     bool addSurvival(std::uint64_t part, time_point at);
     part_verdict verdictOn(std::uint64_t part, const part_record &record, time_point now) const;
     void noteNews(bool isNews, time_point now);
+    /// Number of crashes of a part that are not explained, with those that coincide counted once.
+    static unsigned occasionsWithout(const part_record &record, const std::unordered_set<crash_id> &explained);
     /// Attributes each crash to the gravest of its parts and sets the terms of quarantine.
     void attribute(time_point now);
     void expire(time_point now);
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -149,7 +149,7 @@
         list.push_back({{"part", toHex(each.part)},
                         {"standing", nameOf(each.standing)},
                         {"crashes", each.crashes},
-                        {"leftMs", millisecondsOf(each.quarantinedFor)}});
+                        {"heldForMs", millisecondsOf(each.heldFor)}});
     }
     return list.dump() + '\n';
 }
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -556,7 +556,7 @@
         return true;
     }
     const part_verdict verdict = m_quarantine.judge(work.request.parts, now);
-    work.quarantinedFor = verdict.quarantinedFor;
+    work.heldFor = verdict.heldFor;
     work.isSuspected = verdict.standing == part_standing::suspected;
     if (verdict.standing == part_standing::clear) {
         return true;
@@ -568,9 +568,9 @@
     exchange_id &trial = m_trials[verdict.part];
     const auto found = m_exchanges.find(trial);
     const exchange *running = found == m_exchanges.end() || trial == id ? nullptr : &found->second;
-    const bool isUndecided = running != nullptr && !running->isPastStart
-                             && (running->state != phase::waiting || running->checkedUpstream != noUpstreamNumber);
-    if (isUndecided) {
+    const bool isUndecided
+        = running != nullptr && !running->isPastStart && (running->state != phase::waiting || running->checkedUpstream != noUpstreamNumber);
+    if (isUndecided || verdict.heldFor > duration(0)) {
         work.lastPlacement = placement_outcome::onTrial;
         return false;
     }
@@ -670,7 +670,7 @@
 {
     for (const part_verdict &verdict : m_quarantine.takeChanges()) {
         log_line line;
-        line.with("part", toHex(verdict.part)).with("crashes", verdict.crashes).with("for_ms", verdict.quarantinedFor);
+        line.with("part", toHex(verdict.part)).with("crashes", verdict.crashes).with("for_ms", verdict.heldFor);
         effects.push_back(
             record(verdict.standing == part_standing::quarantined ? log_event::partQuarantined : log_event::partReleased, line));
     }
@@ -862,7 +862,7 @@
         answer.retryAfter = std::max(*answer.retryAfter, work.pausedUntil - now);
     }
     if (reason == refusal_reason::quarantined) {
-        answer.retryAfter = std::max(limits::retryAfterSuspicion, work.quarantinedFor);
+        answer.retryAfter = std::max(limits::retryAfterSuspicion, work.heldFor);
     }
     effects.push_back(answer);
     log_line line;
--- a/src/limits.h
+++ b/src/limits.h
@@ -161,11 +161,13 @@
 inline constexpr duration minAttemptTime = 20ms; // a request with less time left cannot be answered
 
 // Quarantine of prompt parts that crash engines.
-inline constexpr unsigned minQuarantineCrashes = 2; // engines; one crash may have another cause
-// A short first term: a part that shared two crashes by chance is soon tried again, at the price of one engine if it is guilty.
-inline constexpr duration quarantineTerms[] = {8s, 60s, 10min}; // after minQuarantineCrashes, one more, and further ones
+inline constexpr unsigned minQuarantineCrashes = 3; // the first ones may have another cause; until then one request at a time is sent
+inline constexpr duration crashCoincidence = 150ms; // engines that crash within it count once: a rack, a domain or a release has failed
+inline constexpr duration quarantineTerms[] = {60s, 10min}; // after minQuarantineCrashes, and after more
 inline constexpr unsigned crashesOutweighedBySurvival = 2;
-inline constexpr duration quarantineTrialStagger = 2s; // between the trials of two routers after a quarantine
+// A suspected part is tried by one router after the other, so that the first one's result is known to the next.
+inline constexpr duration trialStagger = 300ms;
+inline constexpr duration maxTrialWait = 3s; // of the last routers of a large fleet
 inline constexpr duration crashLifetime = 1h; // longer than the longest term, so that the trial after it ends with one crash
 inline constexpr duration quarantineSweepInterval = 1s; // between two removals of old evidence
 inline constexpr duration survivalShareTime = 5s; // that a cleared part is told to other routers; covers lost heartbeats
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -26,10 +26,24 @@
 }
 
 /// An engine that survived a part once weighs as much as some crashes: the part was in a prompt that crashed it by another one.
-unsigned suspicion(std::size_t crashes, bool isProven)
+unsigned suspicion(unsigned crashes, bool isProven)
 {
-    const auto count = static_cast<unsigned>(crashes);
-    return isProven ? count - std::min(count, limits::crashesOutweighedBySurvival) : count;
+    return isProven ? crashes - std::min(crashes, limits::crashesOutweighedBySurvival) : crashes;
+}
+
+/// Number of crashes, with those that coincide counted once.
+unsigned occasions(std::vector<time_point> crashes)
+{
+    std::sort(crashes.begin(), crashes.end());
+    unsigned count = 0;
+    time_point first;
+    for (const time_point at : crashes) {
+        if (count == 0 || at - first > limits::crashCoincidence) {
+            ++count;
+            first = at;
+        }
+    }
+    return count;
 }
 
 } // namespace
@@ -186,6 +200,17 @@
     }
 }
 
+unsigned prompt_quarantine::occasionsWithout(const part_record &record, const std::unordered_set<crash_id> &explained)
+{
+    std::vector<time_point> times;
+    for (const auto &[id, at] : record.crashes) {
+        if (!explained.contains(id)) {
+            times.push_back(at);
+        }
+    }
+    return occasions(std::move(times));
+}
+
 void prompt_quarantine::attribute(time_point now)
 {
     std::vector<std::pair<const std::uint64_t, part_record> *> order;
@@ -193,17 +218,17 @@
         order.push_back(&each);
     }
     // Of parts that were in the same crashes, the one that no engine ever survived, and then the one that fewer prompts share.
-    const auto gravity = [](const auto *each) {
+    const std::unordered_set<crash_id> none;
+    const auto gravity = [&none](const auto *each) {
         const part_record &record = each->second;
-        return std::tuple(suspicion(record.crashes.size(), record.survivedAt.has_value()), !record.survivedAt.has_value(), record.depth,
-                          each->first);
+        return std::tuple(suspicion(occasionsWithout(record, none), record.survivedAt.has_value()), !record.survivedAt.has_value(),
+                          record.depth, each->first);
     };
     std::sort(order.begin(), order.end(), [&](const auto *a, const auto *b) { return gravity(a) > gravity(b); });
     std::unordered_set<crash_id> explained;
     for (auto *each : order) {
         part_record &record = each->second;
-        record.unexplained = static_cast<unsigned>(std::count_if(record.crashes.begin(), record.crashes.end(),
-                                                                 [&](const auto &crash) { return !explained.contains(crash.first); }));
+        record.unexplained = occasionsWithout(record, explained);
         for (const auto &[id, at] : record.crashes) {
             record.lastCrashAt = std::max(record.lastCrashAt, at);
         }
@@ -228,16 +253,15 @@
 part_verdict prompt_quarantine::verdictOn(std::uint64_t part, const part_record &record, time_point now) const
 {
     part_verdict verdict {part, part_standing::clear, record.unexplained};
-    if (record.term == duration(0)) {
-        verdict.standing
-            = suspicion(record.unexplained, record.survivedAt.has_value()) > 0 ? part_standing::suspected : part_standing::clear;
+    if (suspicion(record.unexplained, record.survivedAt.has_value()) == 0) {
         return verdict;
     }
     const std::uint64_t own = mixHash(m_self, part);
     const auto ahead = std::count_if(m_routers.begin(), m_routers.end(), [&](std::uint64_t each) { return mixHash(each, part) < own; });
-    const time_point end = record.lastCrashAt + record.term + ahead * limits::quarantineTrialStagger;
-    verdict.standing = now < end ? part_standing::quarantined : part_standing::suspected;
-    verdict.quarantinedFor = std::max(duration(0), end - now);
+    const duration turn = std::min(ahead * limits::trialStagger, limits::maxTrialWait);
+    verdict.heldFor = std::max(duration(0), record.lastCrashAt + record.term + turn - now);
+    const bool isInTerm = now < record.lastCrashAt + record.term;
+    verdict.standing = isInTerm ? part_standing::quarantined : part_standing::suspected;
     return verdict;
 }
 
@@ -253,7 +277,7 @@
             continue;
         }
         const part_verdict verdict = verdictOn(part, found->second, now);
-        if (std::tie(verdict.standing, verdict.quarantinedFor) > std::tie(gravest.standing, gravest.quarantinedFor)) {
+        if (std::tie(verdict.standing, verdict.heldFor) > std::tie(gravest.standing, gravest.heldFor)) {
             gravest = verdict;
         }
     }
