Quarantine: crashes coincide by the times of their requests, not by their own

Cause: coincidence was a span of time. What tells a common cause is that the second request was under way when the first engine crashed; a request sent after that shows that its prompt brings the crash along, however soon it comes. Change: evidence carries when the first request with the part was sent to the crashed engine; crashes coincide if that was before the crash counted last. The constant of 150 ms is gone.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -407,7 +407,7 @@
     struct upstream_check {
         std::string instance;
         crash_id crash = 0; // its id, should the upstream have crashed
-        std::vector<prompt_parts> prompts; // of the answers that it broke off at their beginning
+        std::vector<crash_suspect> suspects; // the answers that it broke off at their beginning
     };
 
     using exchanges = std::unordered_map<exchange_id, exchange>;
--- a/include/nutmegtally/prompt_quarantine.h
+++ b/include/nutmegtally/prompt_quarantine.h
@@ -27,6 +27,7 @@
     struct crash {
         crash_id id = 0;
         duration age {0};
+        duration sendAge {0}; // since the first request with the part that the engine was beginning was sent
 
         bool operator==(const crash &) const = default;
     };
@@ -39,6 +40,12 @@
     bool operator==(const part_evidence &) const = default;
 };
 
+/// A request that an engine was beginning to answer when it crashed.
+struct crash_suspect {
+    prompt_parts prompt;
+    time_point sentAt;
+};
+
 enum class part_standing : std::uint8_t {
     clear,
     suspected, // one router and one request at a time, until an engine gets past its beginning
@@ -60,7 +67,7 @@
 struct part_verdict {
     std::uint64_t part = 0;
     part_standing standing = part_standing::clear;
-    unsigned crashes = 0; // that no other part explains; engines that crash together count once
+    unsigned crashes = 0; // that no other part explains; those that coincide count once
     duration heldFor {0}; // until this router may try a request with it
 };
 
@@ -80,8 +87,8 @@
         m_routers = std::move(routers);
     }
 
-    /// Records that an engine crashed which was beginning answers on these prompts.
-    void recordCrash(crash_id id, const std::vector<prompt_parts> &prompts, time_point now);
+    /// Records that an engine crashed which was beginning answers to these requests.
+    void recordCrash(crash_id id, const std::vector<crash_suspect> &suspects, time_point now);
 
     /// Records that an engine got past the beginning of an answer on a prompt.
     void recordSurvival(const prompt_parts &prompt, time_point now);
@@ -122,10 +129,15 @@
     std::vector<part_verdict> verdicts(time_point now) const;
 
 private:
+    struct crash_record {
+        time_point at;
+        time_point sentAt; // of the first request with the part that the engine was beginning
+    };
+
     struct part_record {
         std::uint32_t depth = 0;
         std::optional<time_point> survivedAt;
-        std::map<crash_id, time_point> crashes; // after survivedAt; at most limits::maxCrashesPerPart
+        std::map<crash_id, crash_record> crashes; // after survivedAt; at most limits::maxCrashesPerPart
         unsigned unexplained = 0; // crashes that no graver part explains
         time_point lastCrashAt;
         duration term {0}; // length of the quarantine, from lastCrashAt on; 0 for none
@@ -137,11 +149,12 @@
     static std::vector<std::uint64_t> sharedParts(const prompt_parts &prompt);
     std::optional<time_point> survivalOf(std::uint64_t part) const;
     /// @return True if that is news to other routers.
-    bool addCrash(std::uint64_t part, std::uint32_t depth, crash_id id, time_point at);
+    bool addCrash(std::uint64_t part, std::uint32_t depth, crash_id id, const crash_record &crash);
     bool addSurvival(std::uint64_t part, time_point at);
     part_verdict verdictOn(std::uint64_t part, const part_record &record, time_point now) const;
     void noteNews(bool isNews, time_point now);
-    /// Number of crashes of a part that are not explained, with those that coincide counted once.
+    /// Number of crashes of a part that are not explained. Crashes coincide, and count once, if the part's request at one engine was sent
+    /// before the other crashed: a rack, a domain or a release may have failed. A later request shows that the part brings the crash along.
     static unsigned occasionsWithout(const part_record &record, const std::unordered_set<crash_id> &explained);
     /// Attributes each crash to the gravest of its parts and sets the terms of quarantine.
     void attribute(time_point now);
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -71,7 +71,7 @@
     for (const part_evidence &each : evidence) {
         json crashes = json::array();
         for (const part_evidence::crash &crash : each.crashes) {
-            crashes.push_back({crash.id, millisecondsOf(crash.age)});
+            crashes.push_back({crash.id, millisecondsOf(crash.age), millisecondsOf(crash.sendAge)});
         }
         json survival = each.survivalAge ? json(millisecondsOf(*each.survivalAge)) : json();
         list.push_back({each.part, each.depth, std::move(survival), std::move(crashes)});
@@ -88,7 +88,8 @@
             each.survivalAge = std::chrono::milliseconds(item.at(2).get<std::uint32_t>());
         }
         for (const json &crash : item.at(3)) {
-            each.crashes.push_back({crash.at(0).get<crash_id>(), std::chrono::milliseconds(crash.at(1).get<std::uint32_t>())});
+            each.crashes.push_back({crash.at(0).get<crash_id>(), std::chrono::milliseconds(crash.at(1).get<std::uint32_t>()),
+                                    std::chrono::milliseconds(crash.at(2).get<std::uint32_t>())});
         }
         evidence.push_back(std::move(each));
     }
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -72,14 +72,14 @@
     }
 }
 
-/// The shared parts of prompts in hexadecimal, separated by commas; at most limits::maxLoggedParts.
-std::string sharedPartsText(const std::vector<prompt_parts> &prompts)
+/// The shared parts of the prompts in hexadecimal, separated by commas; at most limits::maxLoggedParts.
+std::string sharedPartsText(const std::vector<crash_suspect> &suspects)
 {
     std::string text;
     std::size_t left = limits::maxLoggedParts;
-    for (const prompt_parts &prompt : prompts) {
-        for (std::size_t i = 0; i + 1 < prompt.size() && left > 0; ++i, --left) {
-            text.append(text.empty() ? "" : ",").append(toHex(prompt[i].id));
+    for (const crash_suspect &suspect : suspects) {
+        for (std::size_t i = 0; i + 1 < suspect.prompt.size() && left > 0; ++i, --left) {
+            text.append(text.empty() ? "" : ",").append(toHex(suspect.prompt[i].id));
         }
     }
     return text;
@@ -599,7 +599,7 @@
         check->second.crash = crashIdOf(upstream->record.instance, upstream->record.incarnation);
         effects.push_back(entry_effect::check_upstream {work.upstream, upstream->record.address});
     }
-    check->second.prompts.push_back(work.request.parts);
+    check->second.suspects.push_back({work.request.parts, work.sentAt});
     if (!m_quarantine.isProven(work.request.parts)) {
         work.checkedUpstream = work.upstream;
     }
@@ -638,9 +638,9 @@
     m_checks.erase(found);
     if (input.isDown) {
         log_line line;
-        line.with("upstream", check.instance).with("prompts", check.prompts.size()).with("parts", sharedPartsText(check.prompts));
+        line.with("upstream", check.instance).with("requests", check.suspects.size()).with("parts", sharedPartsText(check.suspects));
         effects.push_back(record(log_event::upstreamCrashed, line));
-        m_quarantine.recordCrash(check.crash, check.prompts, now);
+        m_quarantine.recordCrash(check.crash, check.suspects, now);
         m_upstreams.recordResult(input.upstream, attempt_result::unreachable, now);
         logQuarantine(effects);
     }
--- a/src/limits.h
+++ b/src/limits.h
@@ -162,7 +162,6 @@
 
 // Quarantine of prompt parts that crash engines.
 inline constexpr unsigned minQuarantineCrashes = 3; // the first ones may have another cause; until then one request at a time is sent
-inline constexpr duration crashCoincidence = 150ms; // engines that crash within it count once: a rack, a domain or a release has failed
 inline constexpr duration quarantineTerms[] = {60s, 10min}; // after minQuarantineCrashes, and after more
 inline constexpr unsigned crashesOutweighedBySurvival = 2;
 // A suspected part is tried by one router after the other, so that the first one's result is known to the next.
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -31,21 +31,6 @@
     return isProven ? crashes - std::min(crashes, limits::crashesOutweighedBySurvival) : crashes;
 }
 
-/// Number of crashes, with those that coincide counted once.
-unsigned occasions(std::vector<time_point> crashes)
-{
-    std::sort(crashes.begin(), crashes.end());
-    unsigned count = 0;
-    time_point first;
-    for (const time_point at : crashes) {
-        if (count == 0 || at - first > limits::crashCoincidence) {
-            ++count;
-            first = at;
-        }
-    }
-    return count;
-}
-
 } // namespace
 
 crash_id crashIdOf(std::string_view instance, std::uint64_t incarnation)
@@ -78,7 +63,7 @@
     return std::all_of(parts.begin(), parts.end(), [this](std::uint64_t part) { return survivalOf(part).has_value(); });
 }
 
-bool prompt_quarantine::addCrash(std::uint64_t part, std::uint32_t depth, crash_id id, time_point at)
+bool prompt_quarantine::addCrash(std::uint64_t part, std::uint32_t depth, crash_id id, const crash_record &crash)
 {
     const auto [found, isNew] = m_records.try_emplace(part);
     part_record &record = found->second;
@@ -86,14 +71,16 @@
         record.survivedAt = survivalOf(part);
     }
     record.depth = std::max(record.depth, depth);
-    if ((record.survivedAt && at <= *record.survivedAt) || !record.crashes.try_emplace(id, at).second) {
+    if (record.survivedAt && crash.at <= *record.survivedAt) {
         return false;
     }
+    const auto [known, isAdded] = record.crashes.try_emplace(id, crash);
+    known->second.sentAt = std::min(known->second.sentAt, crash.sentAt);
     if (record.crashes.size() > limits::maxCrashesPerPart) {
         record.crashes.erase(std::min_element(record.crashes.begin(), record.crashes.end(),
-                                              [](const auto &a, const auto &b) { return a.second < b.second; }));
+                                              [](const auto &a, const auto &b) { return a.second.at < b.second.at; }));
     }
-    return true;
+    return isAdded;
 }
 
 bool prompt_quarantine::addSurvival(std::uint64_t part, time_point at)
@@ -112,16 +99,16 @@
     }
     part_record &record = found->second;
     record.survivedAt = at;
-    return std::erase_if(record.crashes, [at](const auto &crash) { return crash.second <= at; }) > 0;
+    return std::erase_if(record.crashes, [at](const auto &crash) { return crash.second.at <= at; }) > 0;
 }
 
-void prompt_quarantine::recordCrash(crash_id id, const std::vector<prompt_parts> &prompts, time_point now)
+void prompt_quarantine::recordCrash(crash_id id, const std::vector<crash_suspect> &suspects, time_point now)
 {
     bool isNews = false;
-    for (const prompt_parts &prompt : prompts) {
-        const std::vector<std::uint64_t> parts = sharedParts(prompt);
+    for (const crash_suspect &suspect : suspects) {
+        const std::vector<std::uint64_t> parts = sharedParts(suspect.prompt);
         for (std::size_t depth = 0; depth < parts.size(); ++depth) {
-            isNews = addCrash(parts[depth], static_cast<std::uint32_t>(depth), id, now) || isNews;
+            isNews = addCrash(parts[depth], static_cast<std::uint32_t>(depth), id, {now, suspect.sentAt}) || isNews;
         }
     }
     noteNews(isNews, now);
@@ -161,7 +148,7 @@
     for (const part_evidence &each : evidence) {
         isNews = (each.survivalAge && addSurvival(each.part, now - *each.survivalAge)) || isNews;
         for (const part_evidence::crash &crash : each.crashes) {
-            isNews = addCrash(each.part, each.depth, crash.id, now - crash.age) || isNews;
+            isNews = addCrash(each.part, each.depth, crash.id, {now - crash.age, now - crash.sendAge}) || isNews;
         }
     }
     noteNews(isNews, now);
@@ -186,7 +173,7 @@
 void prompt_quarantine::expire(time_point now)
 {
     for (auto &[part, record] : m_records) {
-        std::erase_if(record.crashes, [now](const auto &crash) { return now - crash.second >= limits::crashLifetime; });
+        std::erase_if(record.crashes, [now](const auto &crash) { return now - crash.second.at >= limits::crashLifetime; });
     }
     std::erase_if(m_records, [now](const auto &each) {
         const part_record &record = each.second;
@@ -202,13 +189,22 @@
 
 unsigned prompt_quarantine::occasionsWithout(const part_record &record, const std::unordered_set<crash_id> &explained)
 {
-    std::vector<time_point> times;
-    for (const auto &[id, at] : record.crashes) {
+    std::vector<crash_record> crashes;
+    for (const auto &[id, crash] : record.crashes) {
         if (!explained.contains(id)) {
-            times.push_back(at);
+            crashes.push_back(crash);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end(), [](const crash_record &a, const crash_record &b) { return a.at < b.at; });
+    unsigned count = 0;
+    time_point last;
+    for (const crash_record &crash : crashes) {
+        if (count == 0 || crash.sentAt > last) {
+            ++count;
+            last = crash.at;
         }
     }
-    return occasions(std::move(times));
+    return count;
 }
 
 void prompt_quarantine::attribute(time_point now)
@@ -229,8 +225,8 @@
     for (auto *each : order) {
         part_record &record = each->second;
         record.unexplained = occasionsWithout(record, explained);
-        for (const auto &[id, at] : record.crashes) {
-            record.lastCrashAt = std::max(record.lastCrashAt, at);
+        for (const auto &[id, crash] : record.crashes) {
+            record.lastCrashAt = std::max(record.lastCrashAt, crash.at);
         }
         record.term = termAfter(suspicion(record.unexplained, record.survivedAt.has_value()));
         if (record.term == duration(0)) {
@@ -239,7 +235,7 @@
             }
             continue;
         }
-        for (const auto &[id, at] : record.crashes) {
+        for (const auto &[id, crash] : record.crashes) {
             explained.insert(id);
         }
         if (record.unexplained > record.reported) {
@@ -307,8 +303,8 @@
         if (record.survivedAt) {
             entry.survivalAge = now - *record.survivedAt;
         }
-        for (const auto &[id, at] : record.crashes) {
-            entry.crashes.push_back({id, now - at});
+        for (const auto &[id, crash] : record.crashes) {
+            entry.crashes.push_back({id, now - crash.at, now - crash.sentAt});
         }
         list.push_back(std::move(entry));
     }
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -271,7 +271,7 @@
 BOOST_AUTO_TEST_CASE(quarantinedPrompt_isRefusedAtOnceAsNotRunWithTheTimeToComeBack)
 {
     start(3, 0);
-    part_evidence evidence {7, 1, std::nullopt, {{1, 10ms}, {2, 2s}, {3, 4s}}};
+    part_evidence evidence {7, 1, std::nullopt, {{1, 10ms, 1s}, {2, 2s, 3s}, {3, 4s, 5s}}};
     apply(entry_event::part_evidence_received {{evidence}});
     request("reply", {{1, 100}, {7, 50}, {2, 10}});
     BOOST_TEST(refusedFor() == "quarantined");
@@ -285,7 +285,7 @@
 BOOST_AUTO_TEST_CASE(suspectedPrompt_isSentOneRequestAtATime)
 {
     start(3, 0);
-    apply(entry_event::part_evidence_received {{part_evidence {7, 1, std::nullopt, {{1, 10ms}}}}});
+    apply(entry_event::part_evidence_received {{part_evidence {7, 1, std::nullopt, {{1, 4s, 5s}}}}});
     const exchange_id first = request("reply", {{1, 100}, {7, 50}, {2, 10}});
     BOOST_TEST(sentTo() != "nobody");
     request("reply", {{1, 100}, {7, 50}, {3, 10}});
--- a/tests/test_http_framing.cpp
+++ b/tests/test_http_framing.cpp
@@ -231,7 +231,7 @@
     event_stream events;
     BOOST_TEST(events.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
     BOOST_TEST(*events.lastEventId() == 1U);
-    events.discardPartialEvent();
+    events.startAttempt();
     BOOST_TEST(events.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     BOOST_TEST(*events.lastEventId() == 2U);
 }
@@ -240,7 +240,7 @@
 {
     event_stream events;
     events.feed("id: 1\n\nid: 2\n\n");
-    events.discardPartialEvent();
+    events.startAttempt();
     BOOST_TEST(events.feed("id: 2\ndata: again\n\nid: 3\n\n") == "id: 3\n\n");
 }
 
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -371,7 +371,7 @@
     sent.load = {"domain", {{0x0102030400000000, 2, 640}}, {{4, {5, 6}}}, {{9, 10}}, load_scope::domain};
     sent.digests = {{"config", 7, 8}};
     sent.recentRouters = {11, 0xffffffff};
-    sent.evidence = {{7, 1, std::nullopt, {{12, 30ms}, {0xffffffff, 1h}}}, {0xfffffffffffffff0, 0, 2s, {}}};
+    sent.evidence = {{7, 1, std::nullopt, {{12, 30ms, 50ms}, {0xffffffff, 1h, 2h}}}, {0xfffffffffffffff0, 0, 2s, {}}};
     const std::string bytes = encodeHeartbeat(sent);
     const router_heartbeat read = decodeHeartbeat(bytes.data(), bytes.size());
     BOOST_TEST(read.name == "a");
--- a/tests/test_prompt_quarantine.cpp
+++ b/tests/test_prompt_quarantine.cpp
@@ -106,10 +106,10 @@
     void crash(std::size_t target)
     {
         engine &crashed = engines[target];
-        std::vector<std::vector<prompt_parts>> suspects(routers.size());
+        std::vector<std::vector<crash_suspect>> suspects(routers.size());
         std::erase_if(runs, [&](const run &each) {
             if (each.engine == target && !each.isPastStart) {
-                suspects[each.router].push_back(each.prompt);
+                suspects[each.router].push_back({each.prompt, each.sentAt});
             }
             return each.engine == target;
         });
@@ -197,9 +197,10 @@
 
 /// One router's quarantine, without the fleet.
 struct quarantine_fixture {
-    void crash(crash_id id, const prompt_parts &prompt = deadlyPrompt)
+    /// @param sentBefore Time since the request was sent.
+    void crash(crash_id id, const prompt_parts &prompt = deadlyPrompt, duration sentBefore = 50ms)
     {
-        quarantine.recordCrash(id, {prompt}, now);
+        quarantine.recordCrash(id, {{prompt, now - sentBefore}}, now);
     }
 
     /// Crashes of as many engines as put a part into quarantine, a second apart.
@@ -319,7 +320,7 @@
 {
     for (crash_id id = 1; id <= 6; ++id) {
         now += 10ms;
-        crash(id);
+        crash(id, deadlyPrompt, 100ms);
     }
     BOOST_TEST((standing() == part_standing::suspected));
     crashUntilQuarantined();
@@ -331,11 +332,21 @@
     BOOST_TEST((standing() == part_standing::quarantined));
 }
 
+// Guards against fast crashes passing for coinciding ones: each request was sent after the engine before it had crashed.
+BOOST_FIXTURE_TEST_CASE(crashesWithinMilliseconds_ofRequestsSentOneAfterTheOther_countSeparately, quarantine_fixture)
+{
+    for (crash_id id = 1; id <= limits::minQuarantineCrashes; ++id) {
+        now += 3ms;
+        crash(id, deadlyPrompt, 2ms);
+    }
+    BOOST_TEST((standing() == part_standing::quarantined));
+}
+
 BOOST_FIXTURE_TEST_CASE(oneCrash_ofOneEngine_countsOnceHoweverManyRequestsAndRoutersReportIt, quarantine_fixture)
 {
     prompt_quarantine other {2};
-    other.recordCrash(1, {deadlyPrompt}, now);
-    quarantine.recordCrash(1, {deadlyPrompt, deadlyPrompt}, now);
+    other.recordCrash(1, {{deadlyPrompt, now}}, now);
+    quarantine.recordCrash(1, {{deadlyPrompt, now}, {deadlyPrompt, now}}, now);
     quarantine.merge(other.evidence(now), now);
     BOOST_TEST((standing() == part_standing::suspected));
 }
@@ -356,7 +367,7 @@
     prompt_quarantine &waiting = isFirst ? other : quarantine;
     BOOST_TEST((trier.judge(deadlyPrompt, now).heldFor == duration(0)));
     BOOST_TEST((waiting.judge(deadlyPrompt, now).heldFor > duration(0)));
-    trier.recordCrash(9, {deadlyPrompt}, now);
+    trier.recordCrash(9, {{deadlyPrompt, now - 50ms}}, now);
     BOOST_TEST((trier.judge(deadlyPrompt, now).heldFor > limits::quarantineTerms[0]));
     waiting.merge(trier.evidence(now), now);
     BOOST_TEST((waiting.judge(deadlyPrompt, now).heldFor > limits::quarantineTerms[0]));
