Quarantine: single crashes are told for ten seconds, and attribution ranks each part once

Found in reading the diff, no failing run: each crash left its suspects in all heartbeats for an hour, up to 64 parts, which with 25 peers of a leader would have slowed the pace of load updates; and each comparison of the sort counted a part's crashes anew.

--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -209,21 +209,19 @@
 
 void prompt_quarantine::attribute(time_point now)
 {
-    std::vector<std::pair<const std::uint64_t, part_record> *> order;
-    for (auto &each : m_records) {
-        order.push_back(&each);
-    }
     // Of parts that were in the same crashes, the one that no engine ever survived, and then the one that fewer prompts share.
-    const std::unordered_set<crash_id> none;
-    const auto gravity = [&none](const auto *each) {
-        const part_record &record = each->second;
-        return std::tuple(suspicion(occasionsWithout(record, none), record.survivedAt.has_value()), !record.survivedAt.has_value(),
-                          record.depth, each->first);
-    };
-    std::sort(order.begin(), order.end(), [&](const auto *a, const auto *b) { return gravity(a) > gravity(b); });
+    using gravity = std::tuple<unsigned, bool, std::uint32_t, std::uint64_t>;
+    std::vector<std::pair<gravity, part_record *>> order;
+    order.reserve(m_records.size());
+    for (auto &[part, record] : m_records) {
+        const bool isProven = record.survivedAt.has_value();
+        order.push_back({gravity(suspicion(occasionsWithout(record, {}), isProven), !isProven, record.depth, part), &record});
+    }
+    std::sort(order.begin(), order.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
     std::unordered_set<crash_id> explained;
-    for (auto *each : order) {
-        part_record &record = each->second;
+    for (const auto &[rank, each] : order) {
+        const std::uint64_t part = std::get<std::uint64_t>(rank);
+        part_record &record = *each;
         record.unexplained = occasionsWithout(record, explained);
         for (const auto &[id, crash] : record.crashes) {
             record.lastCrashAt = std::max(record.lastCrashAt, crash.at);
@@ -231,7 +229,7 @@
         record.term = termAfter(suspicion(record.unexplained, record.survivedAt.has_value()));
         if (record.term == duration(0)) {
             if (std::exchange(record.reported, 0) > 0) {
-                m_changes.push_back(verdictOn(each->first, record, now));
+                m_changes.push_back(verdictOn(part, record, now));
             }
             continue;
         }
@@ -240,7 +238,7 @@
         }
         if (record.unexplained > record.reported) {
             record.reported = record.unexplained;
-            m_changes.push_back(verdictOn(each->first, record, now));
+            m_changes.push_back(verdictOn(part, record, now));
         }
     }
     expire(now);
@@ -286,7 +284,8 @@
     for (const auto &each : m_records) {
         const part_record &record = each.second;
         const bool isRecentlyCleared = record.survivedAt && now - *record.survivedAt < limits::survivalShareTime;
-        if (!record.crashes.empty() || isRecentlyCleared) {
+        const bool isRecent = now - record.lastCrashAt < limits::crashShareTime;
+        if (isRecentlyCleared || (!record.crashes.empty() && (isRecent || record.unexplained > 1))) {
             order.push_back(&each);
         }
     }
