--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -317,10 +317,10 @@
         refuse(now, id, work, refusal_reason::quarantined, effects);
         return;
     }
-    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::onTrial
-                       || work.lastPlacement == placement_outcome::allCold || work.lastPlacement == placement_outcome::unverified
-                       || work.lastPlacement == placement_outcome::cachesUnknown
-                       || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.queueUntil);
+    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
+                       || work.lastPlacement == placement_outcome::unverified || work.lastPlacement == placement_outcome::cachesUnknown
+                       || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.queueUntil)
+                       || (work.lastPlacement == placement_outcome::onTrial && now + work.heldFor < work.queueUntil);
     if (waits && m_options.mechanisms.has(mechanism::queueing) && work.sends == 0 && m_waiting.size() < limits::queueLimit
         && now < work.queueUntil) {
         work.state = phase::waiting;
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -282,6 +282,21 @@
     BOOST_TEST(sentTo() != "nobody");
 }
 
+// Guards against a request waiting in vain for this router's turn to try its prompt, which comes after it would be refused.
+BOOST_AUTO_TEST_CASE(suspectedPrompt_whoseTurnComesTooLate_isRefusedAtOnce)
+{
+    start(3, 0);
+    const std::vector<std::string> routers {"self", "other-1", "other-2", "other-3", "other-4", "other-5", "other-6", "other-7"};
+    apply(entry_event::routers_changed {routers});
+    for (std::uint64_t part = 100; part < 120; ++part) {
+        apply(entry_event::part_evidence_received {{part_evidence {part, 1, std::nullopt, {{1, 0ms, 1s}}}}});
+        request("reply", {{1, 100}, {part, 50}, {2, 10}});
+        const auto *refused = effect<entry_effect::refuse>();
+        BOOST_TEST((sentTo() != "nobody" || refused != nullptr)); // turns are 0.3 s apart, the request waits for 0.125 s at most
+        BOOST_TEST((refused == nullptr || refused->retryAfter.value_or(0ms) >= 300ms));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(suspectedPrompt_isSentOneRequestAtATime)
 {
     start(3, 0);
