One rank of routers for duties and for trials of prompt parts; one fetch in the test of answer ends

Found in reading the whole change again; behaviour and assertions stay. prompt_quarantine computed the rank that isAmongFirst computes: both call rankAmong now. Two cases of test_daemon_answer_ends sent and parsed a request in the same lines: fetched() serves both.

--- a/include/nutmegtally/router_rank.h
+++ b/include/nutmegtally/router_rank.h
@@ -10,6 +10,9 @@
 namespace nutmegtally
 {
 
+/// Number of routers that come before a router in the ranking for a duty; parameters as for isAmongFirst().
+std::size_t rankAmong(std::uint64_t self, const std::vector<std::uint64_t> &routers, std::uint64_t duty);
+
 /// True if a router is one of the first @p count in the ranking for a duty.
 /// @param self Hash of the router's name.
 /// @param routers Hashes of the names of the live routers; empty if no other is known.
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <nutmegtally/ids.h>
 #include <nutmegtally/prompt_quarantine.h>
+#include <nutmegtally/router_rank.h>
 
 #include <algorithm>
 #include <iterator>
@@ -250,9 +251,8 @@
     if (suspicion(record.unexplained, record.survivedAt.has_value()) == 0) {
         return verdict;
     }
-    const std::uint64_t own = mixHash(m_self, part);
-    const auto ahead = std::count_if(m_routers.begin(), m_routers.end(), [&](std::uint64_t each) { return mixHash(each, part) < own; });
-    const duration turn = std::min(ahead * limits::trialStagger, limits::maxTrialWait);
+    const auto rank = static_cast<duration::rep>(rankAmong(m_self, m_routers, part));
+    const duration turn = std::min(rank * limits::trialStagger, limits::maxTrialWait);
     verdict.heldFor = std::max(duration(0), record.lastCrashAt + record.term + turn - now);
     const bool isInTerm = now < record.lastCrashAt + record.term;
     verdict.standing = isInTerm ? part_standing::quarantined : part_standing::suspected;
--- a/tests/test_daemon_answer_ends.cpp
+++ b/tests/test_daemon_answer_ends.cpp
@@ -58,6 +58,15 @@
     return {parser.head().status, parser.body(), parser.isDone()};
 }
 
+/// Sends one request, after which the router closes the connection, and reads all that comes back.
+seen_answer fetched(serving_fixture &fixture, const std::string &route)
+{
+    tcp::socket client = fixture.connect();
+    serving_fixture::send(client, serving_fixture::request(route, "r1", "Connection: close\r\n"));
+    const std::string text = fixture.readUntil(client, "[never]");
+    return parsed(std::string_view(text).substr(0, text.rfind("[closed]")));
+}
+
 /// The first attempt gets the beginning of an answer, which then ends; a second attempt gets what is left of it.
 struct ended_answer {
     std::vector<std::string> events;
@@ -84,10 +93,7 @@
         };
         fixture.upstream(respond);
         fixture.upstream(respond);
-        tcp::socket client = fixture.connect();
-        serving_fixture::send(client, serving_fixture::request(route, "r1", "Connection: close\r\n"));
-        const std::string text = fixture.readUntil(client, "[never]");
-        return parsed(std::string_view(text).substr(0, text.rfind("[closed]")));
+        return fetched(fixture, route);
     }
 
     std::string description(const std::string &route) const
@@ -188,10 +194,7 @@
             };
             fixture.upstream(respond);
             fixture.upstream(respond);
-            tcp::socket client = fixture.connect();
-            serving_fixture::send(client, serving_fixture::request(route, "r1", "Connection: close\r\n"));
-            const std::string text = fixture.readUntil(client, "[never]");
-            const seen_answer seen = parsed(std::string_view(text).substr(0, text.rfind("[closed]")));
+            const seen_answer seen = fetched(fixture, route);
             BOOST_TEST(seen.isComplete == (route == "reply"), route << ", " << nameOf(framing));
             BOOST_TEST((route != "reply" || seen.body == "id: 1\n\nid: 2\n\n"), route << ", " << nameOf(framing));
         }
