Limits that upstreams state are decoded and logged

What operators saw: nothing in a log or metric told that an upstream states a limit of requests, so hypotheses about who heard which figure could not be told apart. Change: answers are decoded into requestsPerSecond, the lowest of several figures; answer_received carries it, and limit_unreadable (NT1214) names a statement that is empty, negative, infinite or no number. No decision uses it yet. Test: decodeAnswer_statedLimit_isAFigureOrUnreadable; test_platform_codec passes.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -50,6 +50,8 @@
     std::optional<upstream_load> load;
     bool isLeaving = false; // the upstream is shutting down
     std::optional<duration> pauseFor = std::nullopt; // the upstream asks this router to send no requests for this time
+    std::optional<double> requestsPerSecond = std::nullopt; // that the upstream states to take from all routers together
+    std::string unreadableLimit {}; // beginning of such a statement that is no figure
 };
 
 /// Where and how the body of an answer ended.
@@ -455,7 +457,7 @@
     void placeWaiting(time_point now, std::vector<effect> &effects);
     bool mayRetry(time_point now, exchange &work, std::vector<effect> &effects);
     void detectPause(time_point now, std::vector<effect> &effects);
-    /// Applies what an answer says besides its status: that the upstream is leaving, or asks for a pause.
+    /// Applies what an answer says besides its status: that the upstream is leaving, asks for a pause, or states a limit.
     void applyUpstreamSignals(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
     void endAttempt(time_point now, exchange &work, attempt_result result);
     void checkTimeouts(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -406,6 +406,11 @@
         line.with("pause_ms", *answer.pauseFor);
         effects.push_back(record(log_event::upstreamPaused, line));
     }
+    if (!answer.unreadableLimit.empty()) {
+        log_line line = attemptLogLine(now, work);
+        line.with("text", answer.unreadableLimit);
+        effects.push_back(record(log_event::limitUnreadable, line));
+    }
 }
 
 void entry_core::on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects)
@@ -422,6 +427,9 @@
     applyUpstreamSignals(now, work, answer, effects);
     log_line line = attemptLogLine(now, work);
     line.with("status", answer.status).with("not_run", answer.notRun).with("signed", answer.isSigned);
+    if (answer.requestsPerSecond) {
+        line.with("limit_per_s", *answer.requestsPerSecond);
+    }
     const bool isSuccess = answer.status >= 200 && answer.status < 300;
     if (answer.notRun) {
         effects.push_back(record(log_event::attemptRefused, line));
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -209,6 +209,29 @@
     BOOST_TEST((codec.decodeAnswer(answer).summary.pauseFor == 1h));
 }
 
+// Guards against statements of a limit that are misread, and against a request that is lost because of one.
+BOOST_AUTO_TEST_CASE(decodeAnswer_statedLimit_isAFigureOrUnreadable)
+{
+    http_head answer;
+    answer.status = 200;
+    const auto decode = [&](std::vector<header_field> fields) {
+        answer.fields = std::move(fields);
+        return codec.decodeAnswer(answer).summary;
+    };
+    BOOST_TEST(!decode({}).requestsPerSecond.has_value());
+    BOOST_TEST(decode({}).unreadableLimit.empty());
+    BOOST_TEST(decode({{"Server-Limit", "2.25"}}).requestsPerSecond.value_or(-1) == 2.25);
+    BOOST_TEST(decode({{"server-limit", "0"}}).requestsPerSecond.value_or(-1) == 0.0);
+    BOOST_TEST(decode({{"Server-Limit", "1e300"}}).requestsPerSecond.value_or(-1) == 1e6);
+    BOOST_TEST(decode({{"Server-Limit", "3"}, {"Server-Limit", "1.5"}}).requestsPerSecond.value_or(-1) == 1.5);
+    for (const char *text : {"", "-1", "nan", "inf", "2 a second", "2,3", "1e999"}) {
+        BOOST_TEST(!decode({{"Server-Limit", text}}).requestsPerSecond.has_value());
+        BOOST_TEST(!decode({{"Server-Limit", text}}).unreadableLimit.empty());
+    }
+    BOOST_TEST(decode({{"Server-Limit", std::string(1000, 'x')}}).unreadableLimit.size() <= 32U);
+    BOOST_TEST(decode({{"Server-Limit", "x"}, {"Server-Limit", "4"}}).requestsPerSecond.value_or(-1) == 4.0);
+}
+
 BOOST_AUTO_TEST_CASE(encodeRefusal_anyReason_isUnsigned)
 {
     for (const refusal_info &info : refusalTable) {
