Limits that upstreams state hold for all routers together: one router issues permits for each

Cause: no router read the limit; placement, queue and refusals knew concurrency and load, but no rate, and nothing was shared that a limit for all routers could be kept with. The class of fault: a bound that each sender would have to keep for the sum of all. Ruled out: repeats and fetches (all sends at engines were first attempts); limits kept per router (no rate fell). Change: request_limits. Routers tell each other in heartbeats what upstreams state; the first router in the ranking for an upstream issues one permit for each request to it from a token bucket, the second one half as many while the first does not answer. An upstream without a permit is skipped, the load bound leaves limited engines out of the mean, waits and Retry-After go by what the limits serve, the more urgent claim goes first and no account takes all permits. The end is seen by an answer without a statement whose request was sent after the last one. Why it works: a permit is given once, so the sum is kept whatever routers know of each other; what stays possible is bounded: two issuers together grant one and a half times the limit.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -9,6 +9,7 @@
 #include <nutmegtally/log_line.h>
 #include <nutmegtally/prompt_quarantine.h>
 #include <nutmegtally/reducer.h>
+#include <nutmegtally/request_limits.h>
 #include <nutmegtally/retry_budget.h>
 #include <nutmegtally/traffic_rules.h>
 #include <nutmegtally/upstream_set.h>
@@ -188,6 +189,22 @@
     std::uint64_t part = 0;
 };
 
+/// Limits of upstreams that another router heard of.
+struct limits_received {
+    std::vector<limit_statement> statements;
+};
+
+/// Another router asks this one for a permit.
+struct permit_requested {
+    std::string router; // name of the other
+    permit_request request;
+};
+
+/// Another router answered a permit_request.
+struct permit_answered {
+    permit_answer answer;
+};
+
 /// A complete answer, or the head of a stream, was received.
 struct answer_received {
     exchange_id exchange = 0;
@@ -268,6 +285,12 @@
     std::string address;
 };
 
+/// Send a message about a permit to another router. It may be lost.
+struct send_permit_message {
+    std::string router; // name of the other
+    std::variant<permit_request, permit_answer> message;
+};
+
 /// Send a final answer of this router. Ends the exchange.
 struct refuse {
     exchange_id exchange = 0;
@@ -301,10 +324,11 @@
                        entry_event::prompt_locations_received, entry_event::held_parts_read, entry_event::held_parts_unread,
                        entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken, entry_event::answer_finished,
                        entry_event::answer_progressed, entry_event::upstream_checked, entry_event::part_evidence_received,
-                       entry_event::part_released, entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
-    using effect
-        = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer, entry_effect::list_held_parts,
-                       entry_effect::check_upstream, entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
+                       entry_event::part_released, entry_event::limits_received, entry_event::permit_requested,
+                       entry_event::permit_answered, entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
+    using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer,
+                                entry_effect::list_held_parts, entry_effect::check_upstream, entry_effect::send_permit_message,
+                                entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
 
     explicit entry_core(entry_options options);
 
@@ -341,9 +365,24 @@
     /// There is something that other routers should soon know.
     bool hasAnnouncements() const
     {
-        return m_upstreams.hasPromptsToAnnounce() || m_quarantine.hasNews();
+        return m_upstreams.hasPromptsToAnnounce() || m_quarantine.hasNews() || m_limits.hasNews();
+    }
+
+    /// As request_limits::takeStatements().
+    std::vector<limit_statement> takeLimits(time_point now)
+    {
+        return m_limits.takeStatements(now);
     }
 
+    /// Upstreams of one service that state limits.
+    struct limited_service {
+        std::size_t upstreams = 0;
+        double perSecond = 0; // sum of their limits
+    };
+
+    /// The limits in force, by service.
+    std::map<std::string, limited_service> limitedServices() const;
+
     std::size_t quarantinedParts(time_point now) const
     {
         const std::vector<part_verdict> verdicts = m_quarantine.verdicts(now);
@@ -375,6 +414,28 @@
         relaying, // the answer is being relayed to the caller
     };
 
+    /// Order of the waiting requests.
+    struct queue_position {
+        int priority = -1; // of a request that is over: its entry is dropped
+        std::size_t turn = 0; // while upstreams are at their limits: waiting requests of the same account that came before
+
+        auto operator<=>(const queue_position &) const = default;
+    };
+
+    /// Placement of a request that is sent when the issuer of the upstream's permits agrees.
+    struct permit_wait {
+        std::uint64_t number = 0; // of the permit_request
+        placement choice;
+        std::string issuer;
+        time_point until; // then the issuer counts as silent
+    };
+
+    enum class permit_result : std::uint8_t {
+        granted,
+        denied, // the upstream is held back for a time
+        asked, // the answer comes as permit_answered
+    };
+
     struct exchange {
         request_summary request;
         std::shared_ptr<const traffic_rules> rules; // version under which it was accepted
@@ -397,11 +458,14 @@
         unsigned sends = 0; // attempts of which something may have reached an upstream
         std::vector<upstream_number> tried;
         placement_outcome lastPlacement = placement_outcome::chosen;
-        time_point pausedUntil; // with placement_outcome::allPaused
+        time_point pausedUntil; // with placement_outcome::allPaused or allLimited
+        double limitedPerSecond = 0; // with placement_outcome::allLimited, as in placement
+        std::optional<permit_wait> permit; // a permit was asked for, which state phase::waiting then waits for
+        unsigned permitDenials = 0; // since it arrived or was last queued
         bool isSuccess = false; // the answer that is being relayed has a status of success
         upstream_number checkedUpstream = noUpstreamNumber; // until the check of it has ended, the request is not sent again
         bool isSuspected = false; // a part of the prompt is suspected to crash engines
-        duration heldFor {0}; // with placement_outcome::quarantined
+        duration heldFor {0}; // with placement_outcome::quarantined or onTrial
         refusal_reason lastFailure = refusal_reason::noUpstream; // reason of a refusal if there is no further attempt
         std::optional<refusal_reason> mayHaveRun; // set once the outcome of an attempt is unknown; replaces reasons that promise "not run"
     };
@@ -434,6 +498,9 @@
     void on(time_point now, const entry_event::upstream_checked &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::part_evidence_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::part_released &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::limits_received &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::permit_requested &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::permit_answered &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::state_verified &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::drain_requested &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
@@ -452,7 +519,18 @@
     void followCheck(time_point now, exchange_id id, exchange &work, bool isDown, std::vector<effect> &effects);
     std::vector<exchange_id> openIds() const;
     void logQuarantine(std::vector<effect> &effects);
+    /// Sends the request to an upstream, or asks for the permit to do so. @return False if neither is possible now.
     bool place(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
+    void startAttempt(time_point now, exchange_id id, exchange &work, const placement &choice, std::vector<effect> &effects);
+    static permit_claim claimOf(const exchange &work);
+    permit_result obtainPermit(time_point now, exchange_id id, exchange &work, const placement &choice, std::vector<effect> &effects);
+    /// Places a request again whose permit was denied or did not come.
+    void placeAfterPermit(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
+    void recordLimit(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
+    /// True if a request is likely to get one of the permits that this router can count on while it waits.
+    bool isPermitLikely(time_point now, const exchange &work) const;
+    std::unordered_map<exchange_id, queue_position> queuePositions() const;
+    void logLimits(std::vector<effect> &effects);
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeWaiting(time_point now, std::vector<effect> &effects);
     bool mayRetry(time_point now, exchange &work, std::vector<effect> &effects);
@@ -480,6 +558,9 @@
     prompt_quarantine m_quarantine;
     std::unordered_map<std::uint64_t, exchange_id> m_trials; // by suspected part: the request that may be sent with it
     std::map<upstream_number, upstream_check> m_checks; // in progress
+    request_limits m_limits;
+    std::uint64_t m_lastPermit = 0; // number of the last permit_request
+    std::unordered_map<std::uint64_t, exchange_id> m_permits; // by number of the permit_request that is not answered
     bool m_announcesHeldParts = false; // other routers do not ask the same engines
 };
 
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -5,6 +5,7 @@
 #include <nutmegtally/load_update.h>
 #include <nutmegtally/mechanism.h>
 #include <nutmegtally/prefix_map.h>
+#include <nutmegtally/request_limits.h>
 #include <nutmegtally/time.h>
 #include <nutmegtally/traffic_rules.h>
 
@@ -57,6 +58,10 @@
     const prompt_parts *parts = nullptr; // null or empty for plain services
     std::uint64_t tieBreak = 0; // seed of the choice between upstreams with equal scores
     const std::vector<upstream_number> *tried = nullptr; // upstreams that are not chosen again
+    const request_limits *limits = nullptr; // upstreams that are at their limits are not chosen
+    permit_claim claim; // for permits of upstreams with limits
+    bool avoidsLimits = false; // no upstream with a limit is chosen
+    duration target {0}; // while others are at their limits, no engine is chosen that is expected to miss it
 };
 
 /// Why no upstream was chosen.
@@ -67,6 +72,7 @@
     allCold, // those with room are cold and have reached their request rate
     allTried, // the request was already sent to every eligible upstream
     allPaused, // those with room asked for a pause
+    allLimited, // all with room state limits, and no permit is to be had yet
     unverified, // the process was paused, and its state is not verified yet
     cachesUnknown, // the process has just started, and engines have not told yet what they have cached
     quarantined, // a part of the prompt crashes engines
@@ -75,7 +81,8 @@
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(placement_outcome::count)> placementOutcomeNames = {
-    "chosen", "none_listed", "all_full", "all_cold", "all_tried", "all_paused", "unverified", "caches_unknown", "quarantined", "on_trial",
+    "chosen",      "none_listed", "all_full",       "all_cold",    "all_tried", "all_paused",
+    "all_limited", "unverified",  "caches_unknown", "quarantined", "on_trial",
 };
 
 constexpr std::string_view nameOf(placement_outcome outcome)
@@ -94,7 +101,8 @@
     std::uint64_t fetchTokens = 0; // cached there beyond cachedTokens
     std::uint64_t prefillTokens = 0; // of the prompt, that the chosen upstream has to prefill
     unsigned candidates = 0; // eligible upstreams that were compared
-    time_point pausedUntil; // with allPaused: end of the earliest pause
+    time_point pausedUntil; // with allPaused: end of the earliest pause; with allLimited: when the first permit may be had
+    double limitedPerSecond = 0; // sum of the limits of the eligible upstreams that state one
 };
 
 /// Result of an attempt, as far as it indicates the health of the upstream.
@@ -120,6 +128,12 @@
 
 /// State of one listed incarnation of an upstream.
 struct upstream_entry {
+    /// As statements of limits name it.
+    limited_upstream limitKey() const
+    {
+        return {static_cast<std::uint32_t>(hash >> 32), static_cast<std::uint32_t>(record.incarnation)};
+    }
+
     upstream_record record;
     std::uint64_t hash = 0; // of the instance's name, which stands for it in load updates
     upstream_number number = noUpstreamNumber;
@@ -253,6 +267,12 @@
     /// @return nullptr if the number is no longer listed.
     const upstream_entry *find(upstream_number number) const;
 
+    /// @return nullptr if no such incarnation is listed.
+    const upstream_entry *find(limited_upstream upstream) const;
+
+    /// True if a request that was placed a moment ago may still be sent there.
+    bool mayReceive(upstream_number number, time_point now) const;
+
     std::size_t size() const
     {
         return m_upstreams.size();
@@ -275,6 +295,7 @@
     struct candidate {
         upstream_entry *state = nullptr;
         double load = 0;
+        bool isLimited = false; // states a limit of requests
     };
 
     /// Cache state of one prompt.
@@ -293,8 +314,9 @@
     const upstream_number *numberOf(std::uint64_t hash) const;
     bool isEligible(const upstream_entry &upstream) const;
     bool mayStartCold(upstream_entry &upstream, const service_rule &rule, time_point now) const;
-    std::vector<candidate> candidatesFor(const placement_query &request, placement &result, double &totalLoad, double &totalFailures,
-                                         time_point now);
+    std::vector<candidate> candidatesFor(const placement_query &request, placement &result, double &totalFailures, time_point now);
+    /// Load that no engine without a limit should exceed. Those with a limit take fewer requests, whatever the others hold.
+    double loadBound(const std::vector<candidate> &eligible) const;
     prompt_cache_view viewPromptCache(const std::vector<candidate> &eligible, const prompt_parts &parts, time_point now) const;
     const std::vector<upstream_entry *> &ofService(std::string_view service);
     /// @param details Receives how many tokens of the prompt the engine has cached, could fetch, and has to prefill.
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -82,7 +82,8 @@
     , m_serving(context, platform::request_codec(), coreOptionsFrom(settings),
                 {[this](const log_record &record) { carryOut(record); },
                  [this](const exchange_report &report) { m_metrics.requestFinished(report); },
-                 [this](const entry_effect::list_held_parts &query) { listHeldParts(query); }, [this] { return now(); }})
+                 [this](const entry_effect::list_held_parts &query) { listHeldParts(query); }, [this] { return now(); },
+                 [this](const entry_effect::send_permit_message &sent) { sendPermitMessage(sent); }})
     , m_followers {object_follower(followerOptionsFrom(objectKindNames[0], settings)),
                    object_follower(followerOptionsFrom(objectKindNames[1], settings)),
                    object_follower(followerOptionsFrom(objectKindNames[2], settings))}
@@ -314,6 +315,7 @@
     now.rulesVersion = entryCore.rules() ? entryCore.rules()->version : 0;
     now.droppedLines = m_log.dropped();
     now.quarantinedParts = entryCore.quarantinedParts(this->now());
+    now.limitedServices = entryCore.limitedServices();
     return {200, {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}}, m_metrics.text(now)};
 }
 
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -27,6 +27,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace nutmegtally
 {
@@ -43,6 +44,8 @@
     bool run();
 
 private:
+    using datagram_endpoint = boost::asio::ip::udp::endpoint;
+
     /// Kinds of objects that the daemon follows. The order is that of objectKindNames and m_followers.
     enum class object_kind : std::uint8_t {
         rules,
@@ -96,6 +99,11 @@
     bool isApiReachable() const;
     void updateRole();
     void handleHeartbeat(const router_heartbeat &heartbeat);
+    void handlePermitMessage(const permit_message &message);
+    /// @param bytes Size of the datagram in m_receiveBuffer. @throws std::exception with a reason if it is none of the routers'.
+    void handleDatagram(std::size_t bytes);
+    void sendPermitMessage(const entry_effect::send_permit_message &sent);
+    void sendDatagram(const datagram_endpoint &peer, const std::string &bytes);
     void applySyncAnswer(const std::vector<std::string> &parts);
     local_answer answerRouters(const http_exchange &exchange);
     local_answer answerQuarantine(const http_exchange &exchange);
@@ -132,6 +140,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::ip::udp::socket m_heartbeatSocket;
+    std::unordered_map<std::string, datagram_endpoint> m_datagramEndpoints; // of the other live routers, by name
     boost::asio::steady_timer m_heartbeatTimer;
     boost::asio::ip::udp::endpoint m_heartbeatSender; // of the datagram in m_receiveBuffer
     std::array<char, 65536> m_receiveBuffer;
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -5,6 +5,7 @@
 
 #include <nutmegtally/ids.h>
 #include <nutmegtally/log_line.h>
+#include <nutmegtally/reducer.h>
 
 #include <algorithm>
 
@@ -36,7 +37,11 @@
 void entry_daemon::carryOut(const gossip_effect::routers_changed &changed)
 {
     std::vector<router_endpoint> endpoints;
+    m_datagramEndpoints.clear();
     for (const peer_info &router : m_gossip.knownPeers(now())) {
+        if (const auto endpoint = parseEndpoint(router.loadAddress)) {
+            m_datagramEndpoints.insert_or_assign(router.name, datagram_endpoint(endpoint->address(), endpoint->port()));
+        }
         endpoints.push_back({router.name, router.domain, router.address, router.loadAddress});
     }
     m_election.setRouters(std::move(endpoints));
@@ -117,6 +122,29 @@
     if (!heartbeat.evidence.empty()) {
         m_serving.post(entry_event::part_evidence_received {heartbeat.evidence});
     }
+    if (!heartbeat.limits.empty()) {
+        m_serving.post(entry_event::limits_received {heartbeat.limits});
+    }
+}
+
+void entry_daemon::handlePermitMessage(const permit_message &message)
+{
+    std::visit(overloaded {
+                   [&](const permit_request &request) {
+                       m_serving.post(entry_event::permit_requested {message.name, request});
+                   },
+                   [&](const permit_answer &answer) { m_serving.post(entry_event::permit_answered {answer}); },
+               },
+               message.content);
+}
+
+void entry_daemon::sendPermitMessage(const entry_effect::send_permit_message &sent)
+{
+    const auto peer = m_datagramEndpoints.find(sent.router);
+    if (peer == m_datagramEndpoints.end()) {
+        return; // the asking router takes the silence for that of a router that is gone
+    }
+    sendDatagram(peer->second, encodePermitMessage({m_settings.name, sent.message}));
 }
 
 void entry_daemon::carryOut(const gossip_effect::sync &syncRequest)
@@ -244,8 +272,13 @@
     }
     const std::string bytes = encodeHeartbeat(heartbeat);
     m_roundBytes += bytes.size();
-    boost::system::error_code ignored; // the next heartbeat replaces one that was not sent
-    m_heartbeatSocket.send_to(boost::asio::buffer(bytes), {peer->address(), peer->port()}, 0, ignored);
+    sendDatagram({peer->address(), peer->port()}, bytes);
+}
+
+void entry_daemon::sendDatagram(const datagram_endpoint &peer, const std::string &bytes)
+{
+    boost::system::error_code ignored; // datagrams may be lost anyway: heartbeats are repeated, permits are asked for elsewhere
+    m_heartbeatSocket.send_to(boost::asio::buffer(bytes), peer, 0, ignored);
 }
 
 void entry_daemon::sendMemberHeartbeats(router_heartbeat heartbeat)
@@ -303,6 +336,7 @@
     heartbeat.interval = m_heartbeatInterval;
     heartbeat.digests = ownDigests();
     heartbeat.evidence = m_serving.takeEvidence();
+    heartbeat.limits = m_serving.takeLimits();
     m_roundBytes = 0;
     ++m_heartbeatRounds;
     if (m_election.isLeader()) {
@@ -332,6 +366,15 @@
     });
 }
 
+void entry_daemon::handleDatagram(std::size_t bytes)
+{
+    std::visit(overloaded {
+                   [this](const router_heartbeat &heartbeat) { handleHeartbeat(heartbeat); },
+                   [this](const permit_message &message) { handlePermitMessage(message); },
+               },
+               decodeDatagram(m_receiveBuffer.data(), bytes));
+}
+
 void entry_daemon::receiveHeartbeats()
 {
     m_heartbeatSocket.async_receive_from(boost::asio::buffer(m_receiveBuffer), m_heartbeatSender,
@@ -341,7 +384,7 @@
                                              }
                                              if (!fault) {
                                                  try {
-                                                     handleHeartbeat(decodeHeartbeat(m_receiveBuffer.data(), bytes));
+                                                     handleDatagram(bytes);
                                                  } catch (const std::exception &problem) {
                                                      log_line line;
                                                      line.with("from", m_heartbeatSender.address().to_string()).with("why", problem.what());
--- a/programs/entry/entry_metrics.cpp
+++ b/programs/entry/entry_metrics.cpp
@@ -37,6 +37,23 @@
     m_requestSeconds[static_cast<std::size_t>(report.kind)]->Observe(std::chrono::duration<double>(report.took).count());
 }
 
+void entry_metrics::setLimits(const std::map<std::string, entry_core::limited_service> &services)
+{
+    for (auto &[name, service] : m_limitedServices) {
+        service = {};
+    }
+    for (const auto &[name, service] : services) {
+        m_limitedServices[name] = service;
+    }
+    for (const auto &[name, service] : m_limitedServices) {
+        const metric_labels labels {{"service", name}};
+        m_metrics.gauge("nutmegtally_entry_limited_upstreams", "Upstreams that state a limit of requests", labels)
+            .Set(static_cast<double>(service.upstreams));
+        m_metrics.gauge("nutmegtally_entry_stated_requests_per_second", "Sum of the limits that upstreams state", labels)
+            .Set(service.perSecond);
+    }
+}
+
 std::string entry_metrics::text(const entry_gauges &gauges)
 {
     m_callers.Set(static_cast<double>(gauges.callers));
@@ -49,6 +66,7 @@
     m_rulesVersion.Set(static_cast<double>(gauges.rulesVersion));
     m_droppedLines.Set(static_cast<double>(gauges.droppedLines));
     m_quarantinedParts.Set(static_cast<double>(gauges.quarantinedParts));
+    setLimits(gauges.limitedServices);
     return m_metrics.text();
 }
 
--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace nutmegtally
@@ -24,6 +25,7 @@
     std::uint64_t rulesVersion = 0;
     std::uint64_t droppedLines = 0; // of the log, since the start of the process
     std::uint64_t quarantinedParts = 0; // of prompts
+    std::map<std::string, entry_core::limited_service> limitedServices; // by service
 };
 
 class entry_metrics
@@ -38,6 +40,8 @@
     std::string text(const entry_gauges &gauges);
 
 private:
+    void setLimits(const std::map<std::string, entry_core::limited_service> &services);
+
     daemon_metrics m_metrics;
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Counter &m_attempts;
@@ -51,6 +55,7 @@
     prometheus::Gauge &m_rulesVersion;
     prometheus::Gauge &m_droppedLines;
     prometheus::Gauge &m_quarantinedParts;
+    std::map<std::string, entry_core::limited_service> m_limitedServices; // with those that had limits before
     std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> m_requestSeconds;
 };
 
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -1,6 +1,7 @@
 #include "entry/gossip_codec.h"
 
 #include <nutmegtally/ids.h>
+#include <nutmegtally/reducer.h>
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,9 @@
 namespace
 {
 
+constexpr double limitUnitsPerRequest = 1000; // limits are sent as whole numbers of this unit
+constexpr double maxSentRequestsPerSecond = 4e6; // what fits in a message; more bounds nothing
+constexpr std::uint32_t noLimit = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint32_t prefillTokenUnit = 64; // tokens; finer steps would not change the placement score
 
 /// Appends a number in little-endian byte order. A value that does not fit is clamped to the maximum of the type.
@@ -96,6 +100,71 @@
     return evidence;
 }
 
+/// Statements of limits: key, incarnation, requests a second in thousandths, age in milliseconds.
+std::string limitsToBytes(const std::vector<limit_statement> &statements)
+{
+    std::string bytes;
+    for (const limit_statement &each : statements) {
+        appendNumber<std::uint32_t>(bytes, each.upstream.key);
+        appendNumber<std::uint32_t>(bytes, each.upstream.incarnation);
+        const double perSecond = std::min(each.perSecond.value_or(0), maxSentRequestsPerSecond);
+        appendNumber<std::uint32_t>(bytes, each.perSecond ? static_cast<std::uint32_t>(perSecond * limitUnitsPerRequest) : noLimit);
+        appendNumber<std::uint32_t>(bytes, static_cast<std::uint64_t>(millisecondsOf(each.age)));
+    }
+    return bytes;
+}
+
+std::vector<limit_statement> limitsFromBytes(std::string_view bytes)
+{
+    std::vector<limit_statement> statements;
+    while (!bytes.empty()) {
+        limit_statement each;
+        each.upstream.key = readNumber<std::uint32_t>(bytes);
+        each.upstream.incarnation = readNumber<std::uint32_t>(bytes);
+        const auto units = readNumber<std::uint32_t>(bytes);
+        if (units != noLimit) {
+            each.perSecond = static_cast<double>(units) / limitUnitsPerRequest;
+        }
+        each.age = std::chrono::milliseconds(readNumber<std::uint32_t>(bytes));
+        statements.push_back(each);
+    }
+    return statements;
+}
+
+limit_statement limitFromBytes(std::string_view bytes)
+{
+    const std::vector<limit_statement> statements = limitsFromBytes(bytes);
+    if (statements.size() != 1) {
+        throw std::runtime_error("a message about a permit names no upstream");
+    }
+    return statements.front();
+}
+
+/// First element of a datagram that is no heartbeat, whose first element is a name.
+enum class datagram_kind : std::uint8_t {
+    permitRequest,
+    permitAnswer,
+};
+
+permit_message permitMessageFromJson(const json &document)
+{
+    permit_message message;
+    message.name = document.at(1).get<std::string>();
+    const auto number = document.at(2).get<std::uint64_t>();
+    const limit_statement statement = limitFromBytes(document.at(3).get_ref<const std::string &>());
+    const permit_claim claim {document.at(4).get<int>(), document.at(5).get<std::uint32_t>()};
+    switch (static_cast<datagram_kind>(document.at(0).get<std::uint8_t>())) {
+    case datagram_kind::permitRequest:
+        message.content = permit_request {number, statement, claim};
+        return message;
+    case datagram_kind::permitAnswer:
+        message.content = permit_answer {number, statement, document.at(6).get<bool>(),
+                                         std::chrono::microseconds(document.at(7).get<std::uint32_t>()), claim};
+        return message;
+    }
+    throw std::runtime_error("a datagram of an unknown kind");
+}
+
 } // namespace
 
 std::string encodeGossipMessage(const gossip_message &message)
@@ -241,14 +310,16 @@
     std::string bytes;
     json::to_msgpack(json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval,
                                   load.source, static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving),
-                                  std::move(digests), recentRouters, evidenceToJson(heartbeat.evidence)}),
+                                  std::move(digests), recentRouters, evidenceToJson(heartbeat.evidence), limitsToBytes(heartbeat.limits)}),
                      bytes);
     return bytes;
 }
 
-router_heartbeat decodeHeartbeat(const char *data, std::size_t size)
+namespace
+{
+
+router_heartbeat heartbeatFromJson(const json &document)
 {
-    const json document = json::from_msgpack(data, data + size);
     router_heartbeat heartbeat;
     load_update &load = heartbeat.load;
     heartbeat.name = document.at(0).get<std::string>();
@@ -294,7 +365,39 @@
     if (document.size() > 12) { // routers of an earlier version send none
         heartbeat.evidence = evidenceFromJson(document.at(12));
     }
+    if (document.size() > 13) {
+        heartbeat.limits = limitsFromBytes(document.at(13).get_ref<const std::string &>());
+    }
     return heartbeat;
 }
 
+} // namespace
+
+std::string encodePermitMessage(const permit_message &message)
+{
+    const auto toJson = overloaded {
+        [&](const permit_request &request) {
+            return json::array({static_cast<unsigned>(datagram_kind::permitRequest), message.name, request.number,
+                                limitsToBytes({request.statement}), request.claim.priority, request.claim.account});
+        },
+        [&](const permit_answer &answer) {
+            return json::array({static_cast<unsigned>(datagram_kind::permitAnswer), message.name, answer.number,
+                                limitsToBytes({answer.statement}), answer.claim.priority, answer.claim.account, answer.isGranted,
+                                answer.wait.count()});
+        },
+    };
+    std::string bytes;
+    json::to_msgpack(std::visit(toJson, message.content), bytes);
+    return bytes;
+}
+
+std::variant<router_heartbeat, permit_message> decodeDatagram(const char *data, std::size_t size)
+{
+    const json document = json::from_msgpack(data, data + size);
+    if (document.at(0).is_string()) {
+        return heartbeatFromJson(document);
+    }
+    return permitMessageFromJson(document);
+}
+
 } // namespace nutmegtally
--- a/programs/entry/gossip_codec.h
+++ b/programs/entry/gossip_codec.h
@@ -5,11 +5,13 @@
 #include <nutmegtally/load_update.h>
 #include <nutmegtally/object_follower.h>
 #include <nutmegtally/prompt_quarantine.h>
+#include <nutmegtally/request_limits.h>
 #include <nutmegtally/router_gossip.h>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace nutmegtally
@@ -44,13 +46,23 @@
     std::vector<kind_digest> digests; // a receiver whose own state stays older does not get changes from the object API
     std::vector<std::uint32_t> recentRouters; // name keys of live routers; not in every heartbeat
     std::vector<part_evidence> evidence; // on prompt parts that crash engines, from all routers
+    std::vector<limit_statement> limits; // that upstreams stated to any router
 };
 
 /// Encodes a heartbeat. Counts above 16 bits are clamped, and pending prefill tokens are rounded up to a multiple of 64.
 std::string encodeHeartbeat(const router_heartbeat &heartbeat);
 
-/// @throws std::exception with a reason if the bytes are not a heartbeat.
-router_heartbeat decodeHeartbeat(const char *data, std::size_t size);
+/// Datagram by which a router asks for a permit, or answers that.
+struct permit_message {
+    std::string name; // of the sender
+    std::variant<permit_request, permit_answer> content;
+};
+
+std::string encodePermitMessage(const permit_message &message);
+
+/// Decodes what encodeHeartbeat() or encodePermitMessage() made.
+/// @throws std::exception with a reason if the bytes are neither.
+std::variant<router_heartbeat, permit_message> decodeDatagram(const char *data, std::size_t size);
 
 /// Request of a sync, and first part of its answer.
 struct gossip_message {
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -65,6 +65,8 @@
     std::function<void(const exchange_report &)> finished;
     std::function<void(const entry_effect::list_held_parts &)> listHeldParts;
     std::function<time_point()> now;
+    /// Sends a message about a permit to another router. Without other routers there are none.
+    std::function<void(const entry_effect::send_permit_message &)> sendPermitMessage = [](const entry_effect::send_permit_message &) {};
 };
 
 template<request_codec Codec>
@@ -106,6 +108,12 @@
         return m_reducer.takeEvidence(m_observer.now());
     }
 
+    /// As entry_core::takeLimits().
+    std::vector<limit_statement> takeLimits()
+    {
+        return m_reducer.takeLimits(m_observer.now());
+    }
+
     std::size_t callerConnections() const
     {
         return m_clients.size();
@@ -153,6 +161,7 @@
     void carryOut(const entry_effect::relay_answer &relayed);
     void carryOut(const entry_effect::list_held_parts &listed);
     void carryOut(const entry_effect::check_upstream &check);
+    void carryOut(const entry_effect::send_permit_message &sent);
     void carryOut(const entry_effect::refuse &refused);
     void carryOut(const entry_effect::cut_answer &answer);
     void carryOut(const exchange_report &report);
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -408,6 +408,12 @@
     });
 }
 
+template<request_codec Codec>
+void serving_core<Codec>::carryOut(const entry_effect::send_permit_message &sent)
+{
+    m_observer.sendPermitMessage(sent);
+}
+
 template<request_codec Codec>
 void serving_core<Codec>::carryOut(const exchange_report &report)
 {
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -109,6 +109,7 @@
     , m_quarantine(hashText(m_options.name))
 {
     m_upstreams.setRouters(m_options.name, {});
+    m_limits.setRouters(m_options.name, {});
 }
 
 void entry_core::apply(time_point now, const event &input, std::vector<effect> &effects)
@@ -151,6 +152,9 @@
 void entry_core::on(time_point now, const entry_event::upstream_unlisted &input, std::vector<effect> &effects)
 {
     m_upstreams.remove(input.instance, now, input.grace);
+    if (input.grace.count() == 0) {
+        m_limits.forget(static_cast<std::uint32_t>(hashText(input.instance) >> 32));
+    }
     log_line line;
     line.with("upstream", input.instance).with("grace_ms", input.grace);
     effects.push_back(record(log_event::upstreamUnlisted, line));
@@ -174,6 +178,7 @@
     const std::size_t before = m_upstreams.routers();
     m_upstreams.setRouters(m_options.name, input.live);
     m_quarantine.setRouters(hashesOf(input.live));
+    m_limits.setRouters(m_options.name, input.live);
     log_line line;
     line.with("live", m_upstreams.routers()).with("previous", before);
     effects.push_back(record(log_event::routersChanged, line));
@@ -250,12 +255,33 @@
     wanted.parts = work.route->carriesPrompt && !work.isSuspected ? &parts : nullptr;
     wanted.tieBreak = hashText(work.request.requestId, work.sends);
     wanted.tried = &work.tried;
-    const placement choice = m_upstreams.choose(wanted, *work.rules, now);
-    work.lastPlacement = choice.outcome;
-    work.pausedUntil = choice.pausedUntil;
-    if (choice.outcome != placement_outcome::chosen) {
-        return false;
+    wanted.limits = m_limits.isEmpty() ? nullptr : &m_limits;
+    wanted.claim = claimOf(work);
+    wanted.target = work.route->target;
+    for (;;) {
+        wanted.avoidsLimits = work.permitDenials >= limits::maxPermitDenials;
+        const placement choice = m_upstreams.choose(wanted, *work.rules, now);
+        work.lastPlacement = choice.outcome;
+        work.pausedUntil = choice.pausedUntil;
+        work.limitedPerSecond = choice.limitedPerSecond;
+        if (choice.outcome != placement_outcome::chosen) {
+            return false;
+        }
+        const permit_result permit = obtainPermit(now, id, work, choice, effects);
+        if (permit == permit_result::granted) {
+            startAttempt(now, id, work, choice, effects);
+        }
+        if (permit != permit_result::denied) {
+            return true;
+        }
+        ++work.permitDenials;
     }
+}
+
+void entry_core::startAttempt(time_point now, exchange_id id, exchange &work, const placement &choice, std::vector<effect> &effects)
+{
+    static const prompt_parts noParts;
+    const prompt_parts &parts = work.route->carriesPrompt ? work.request.parts : noParts;
     const upstream_entry &upstream = *m_upstreams.find(choice.upstream);
     if (work.sends > 0) {
         m_retryBudgets[work.service].addRetry(now);
@@ -292,6 +318,7 @@
         .with("send", work.sends)
         .with("score_ms", choice.score)
         .with("load", choice.load)
+        .with("limit_per_s", m_limits.limitOf(upstream.limitKey()).value_or(0))
         .with("load_age_ms", choice.loadAge)
         .with("candidates", choice.candidates)
         .with("context", affinityKeyOf(parts))
@@ -301,7 +328,6 @@
         .with("waited_ms", now - work.arrivedAt)
         .with("left_ms", attempt.timeLeft);
     effects.push_back(record(log_event::attemptStarted, line));
-    return true;
 }
 
 void entry_core::placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
@@ -320,10 +346,12 @@
     const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
                        || work.lastPlacement == placement_outcome::unverified || work.lastPlacement == placement_outcome::cachesUnknown
                        || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.queueUntil)
+                       || (work.lastPlacement == placement_outcome::allLimited && isPermitLikely(now, work))
                        || (work.lastPlacement == placement_outcome::onTrial && now + work.heldFor < work.queueUntil);
     if (waits && m_options.mechanisms.has(mechanism::queueing) && work.sends == 0 && m_waiting.size() < limits::queueLimit
         && now < work.queueUntil) {
         work.state = phase::waiting;
+        work.permitDenials = 0;
         m_waiting.push_back(id);
         return;
     }
@@ -340,19 +368,15 @@
         return;
     }
     if (m_options.mechanisms.has(mechanism::queueOrder)) {
-        // By priority, and in order of arrival within a priority.
-        std::stable_sort(m_waiting.begin(), m_waiting.end(), [this](exchange_id a, exchange_id b) {
-            const auto first = m_exchanges.find(a);
-            const auto second = m_exchanges.find(b);
-            const int firstPriority = first == m_exchanges.end() ? -1 : first->second.priority;
-            const int secondPriority = second == m_exchanges.end() ? -1 : second->second.priority;
-            return firstPriority < secondPriority;
-        });
+        // By priority, under limits by the account's turn, and in order of arrival.
+        const std::unordered_map<exchange_id, queue_position> positions = queuePositions();
+        std::stable_sort(m_waiting.begin(), m_waiting.end(),
+                         [&](exchange_id a, exchange_id b) { return positions.at(a) < positions.at(b); });
     }
     std::deque<exchange_id> remaining;
     for (const exchange_id id : m_waiting) {
         const auto found = m_exchanges.find(id);
-        if (found == m_exchanges.end() || found->second.state != phase::waiting) {
+        if (found == m_exchanges.end() || found->second.state != phase::waiting || found->second.permit) {
             continue;
         }
         exchange &work = found->second;
@@ -406,11 +430,7 @@
         line.with("pause_ms", *answer.pauseFor);
         effects.push_back(record(log_event::upstreamPaused, line));
     }
-    if (!answer.unreadableLimit.empty()) {
-        log_line line = attemptLogLine(now, work);
-        line.with("text", answer.unreadableLimit);
-        effects.push_back(record(log_event::limitUnreadable, line));
-    }
+    recordLimit(now, work, answer, effects);
 }
 
 void entry_core::on(time_point now, const entry_event::answer_received &input, std::vector<effect> &effects)
@@ -742,6 +762,11 @@
     m_announcesHeldParts = !query.asksAll;
     std::vector<std::string> instances;
     for (const upstream_record &engine : query.engines) {
+        const limited_upstream upstream {static_cast<std::uint32_t>(hashText(engine.instance) >> 32),
+                                         static_cast<std::uint32_t>(engine.incarnation)};
+        if (m_limits.limitOf(upstream)) {
+            continue; // a list is a request, too
+        }
         effects.push_back(entry_effect::list_held_parts {engine.instance, engine.address});
         instances.push_back(engine.instance);
     }
@@ -812,6 +837,13 @@
 
 void entry_core::checkTimeouts(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
 {
+    if (work.state == phase::waiting && work.permit) {
+        if (now >= work.permit->until) {
+            m_limits.recordSilence(work.permit->issuer, now);
+            placeAfterPermit(now, id, work, effects);
+        }
+        return;
+    }
     if (work.state == phase::waiting) {
         if (now >= (work.checkedUpstream == noUpstreamNumber ? work.queueUntil : work.timeoutAt)) {
             refuse(now, id, work, reasonFor(work.lastPlacement), effects);
@@ -869,6 +901,9 @@
     if (answer.retryAfter && work.lastPlacement == placement_outcome::allPaused) {
         answer.retryAfter = std::max(*answer.retryAfter, work.pausedUntil - now);
     }
+    if (answer.retryAfter && work.lastPlacement == placement_outcome::allLimited && work.sends == 0) {
+        answer.retryAfter = m_limits.nextReturn(work.pausedUntil, work.limitedPerSecond, now);
+    }
     if (reason == refusal_reason::quarantined) {
         answer.retryAfter = std::max(limits::retryAfterSuspicion, work.heldFor);
     }
@@ -912,6 +947,9 @@
 
 void entry_core::finish(exchange_id id)
 {
+    if (const auto found = m_exchanges.find(id); found != m_exchanges.end() && found->second.permit) {
+        m_permits.erase(found->second.permit->number);
+    }
     m_exchanges.erase(id);
 }
 
--- a/src/limits.h
+++ b/src/limits.h
@@ -178,6 +178,29 @@
 inline constexpr std::size_t maxLoggedParts = 16; // in one line of the log
 inline constexpr duration retryAfterSuspicion = 500ms; // another request with the part has been answered by then, or was its end
 
+// Limits of requests that upstreams state.
+inline constexpr double minPermitsPerSecond = 0.25; // also for an upstream that takes none: only an answer tells that it takes more
+inline constexpr double minPermitBurst = 2.0; // permits that a bucket holds at least: one, and one that is left for more urgent requests
+inline constexpr duration permitBurstTime = 500ms; // of the limit, that a bucket holds
+inline constexpr double standbyPermitShare = 0.5; // of the limit that the second issuer grants; it does not know what the first one does
+inline constexpr duration permitTimeout = 60ms; // for an issuer's answer: ten round trips within a region
+inline constexpr duration silentIssuerTime = 2s; // that an issuer without an answer is not asked
+inline constexpr duration minPermitWait = 5ms; // after a denial, about the time on the way
+inline constexpr duration maxPermitWait = 2s; // after a denial; limits may end or rise meanwhile
+inline constexpr duration permitMemory = 1s; // that denied requests are left a permit
+inline constexpr duration permitShareHalfLife = 5s; // of the permits counted for a client account
+inline constexpr double maxAccountPermitShare = 0.5; // of an upstream's permits for one account while others are denied
+inline constexpr std::size_t maxPermitAccounts = 64; // counted for one upstream
+inline constexpr std::size_t maxPermitClaims = 256; // remembered for one upstream until their waits are over
+inline constexpr unsigned maxPermitDenials = 4; // of one request, before it goes where no permit is needed, or waits
+inline constexpr double limitNewsShare = 0.1; // of a limit; other routers are told of a smaller change in turn
+inline constexpr duration limitRefreshInterval = 500ms; // by which the same statement has to be newer; more than routers need to pass it on
+inline constexpr duration limitEndShareTime = 5s; // that the end of a limit is told to other routers; covers lost heartbeats
+inline constexpr std::size_t maxSharedLimits = 48; // in a heartbeat; 700 bytes
+inline constexpr duration maxLimitReturn = 3s; // longest Retry-After while all upstreams are at their limits
+// Added to the score of an upstream with a limit, which had better keep its permits for prompts that it has cached.
+inline constexpr double limitedPenaltyMs = 30;
+
 // Watching the platform's objects, and gossip between routers.
 inline constexpr duration minCallBackoff = 60ms; // after a failed call to the object API; doubles
 inline constexpr duration maxCallBackoff = 1s; // each call is charged, also a refused one
--- a/src/placement_score.h
+++ b/src/placement_score.h
@@ -30,10 +30,11 @@
     double memory = 0;
     double crossDomain = 0;
     double failures = 0;
+    double limited = 0;
 
     double total() const
     {
-        return prefill + fetch + notPreferred + load + memory + crossDomain + failures;
+        return prefill + fetch + notPreferred + load + memory + crossDomain + failures + limited;
     }
 };
 
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -486,8 +486,8 @@
     return m_byService[std::string(service)];
 }
 
-std::vector<upstream_set::candidate> upstream_set::candidatesFor(const placement_query &request, placement &result, double &totalLoad,
-                                                                 double &totalFailures, time_point now)
+std::vector<upstream_set::candidate> upstream_set::candidatesFor(const placement_query &request, placement &result, double &totalFailures,
+                                                                 time_point now)
 {
     std::vector<candidate> eligible;
     bool anyTried = false;
@@ -499,8 +499,9 @@
             anyTried = true;
             continue;
         }
-        eligible.push_back({state, estimatedLoad(*state, now)});
-        totalLoad += eligible.back().load;
+        const std::optional<double> limit = request.limits != nullptr ? request.limits->limitOf(state->limitKey()) : std::nullopt;
+        eligible.push_back({state, estimatedLoad(*state, now), limit.has_value()});
+        result.limitedPerSecond += limit.value_or(0);
         totalFailures += state->failureRate;
     }
     result.outcome
@@ -545,6 +546,18 @@
     return view;
 }
 
+double upstream_set::loadBound(const std::vector<candidate> &eligible) const
+{
+    double total = 0;
+    double count = 0;
+    for (const candidate &each : eligible) {
+        total += each.isLimited ? 0 : each.load;
+        count += each.isLimited ? 0 : 1;
+    }
+    return m_mechanisms.has(mechanism::loadBound) && count > 0 ? limits::loadOverMean * total / count + limits::loadOverMeanSlack
+                                                               : std::numeric_limits<double>::infinity();
+}
+
 placement upstream_set::choose(const placement_query &request, const traffic_rules &rules, time_point now)
 {
     placement best;
@@ -552,17 +565,15 @@
     if (rule == nullptr) {
         return best;
     }
-    double totalLoad = 0;
     double totalFailures = 0;
-    const std::vector<candidate> eligible = candidatesFor(request, best, totalLoad, totalFailures, now);
+    const std::vector<candidate> eligible = candidatesFor(request, best, totalFailures, now);
     if (eligible.empty()) {
         return best;
     }
     const bool isEngine = request.parts != nullptr && rule->engineSlots > 0;
     const prompt_cache_view prompt = isEngine ? viewPromptCache(eligible, *request.parts, now) : prompt_cache_view {};
     const double count = static_cast<double>(eligible.size());
-    const double loadBound = m_mechanisms.has(mechanism::loadBound) ? limits::loadOverMean * totalLoad / count + limits::loadOverMeanSlack
-                                                                    : std::numeric_limits<double>::infinity();
+    const double mostLoad = loadBound(eligible);
     const bool anyUsable
         = std::any_of(eligible.begin(), eligible.end(), [now](const candidate &each) { return now >= each.state->ejectedUntil; });
     // Each request in flight uses a connection of its own; other routers and idle connections use the rest.
@@ -571,7 +582,9 @@
                                    : std::numeric_limits<double>::infinity();
 
     bool hasColdCandidate = false;
+    bool anyFull = false;
     std::optional<time_point> pausedUntil;
+    std::optional<time_point> limitedUntil;
     double bestTie = 0;
     // Routers with the same load updates would all choose the same best engine. A random part of the score spreads them, as large
     // as the load that they may have placed without reporting it yet.
@@ -580,9 +593,16 @@
     for (const candidate &each : eligible) {
         upstream_entry &state = *each.state;
         const double slots = std::max(1U, state.record.slots);
-        const double maxLoad = isEngine ? std::min(slots, loadBound) : slots * (1.0 + limits::serviceQueueShare);
+        const double maxEngineLoad = each.isLimited ? slots : std::min(slots, mostLoad);
+        const double maxLoad = isEngine ? maxEngineLoad : slots * (1.0 + limits::serviceQueueShare);
         const bool isEjected = anyUsable && now < state.ejectedUntil;
         if (isEjected || each.load + 1 > maxLoad || state.inFlight + 1 > connections) {
+            anyFull = anyFull || !isEjected;
+            continue;
+        }
+        const time_point availableAt = each.isLimited ? request.limits->availableAt(state.limitKey(), request.claim) : now;
+        if (each.isLimited && (request.avoidsLimits || now < availableAt)) {
+            limitedUntil = std::min(limitedUntil.value_or(availableAt), availableAt);
             continue;
         }
         if (now < state.pausedUntil || (state.isHalfOpen && state.inFlight > 0)) {
@@ -603,6 +623,12 @@
         if (m_mechanisms.has(mechanism::failurePenalty)) {
             terms.failures = limits::failurePenaltyMs * std::max(0.0, state.failureRate - totalFailures / count);
         }
+        terms.limited = each.isLimited ? limits::limitedPenaltyMs : 0;
+        if (isEngine && !each.isLimited && best.limitedPerSecond > 0 && terms.total() > milliseconds(request.target)) {
+            anyFull = true;
+            continue;
+        }
+        option.limitedPerSecond = best.limitedPerSecond;
         option.load = each.load;
         option.loadAge = state.hasReport ? now - state.reportedAt : duration(0);
         const double tie = static_cast<double>(mixHash(request.tieBreak, state.number) >> 11) / static_cast<double>(1ULL << 53);
@@ -617,10 +643,11 @@
         }
     }
     if (best.upstream == noUpstreamNumber) {
-        best.outcome = hasColdCandidate ? placement_outcome::allCold
-                       : pausedUntil    ? placement_outcome::allPaused
-                                        : placement_outcome::allFull;
-        best.pausedUntil = pausedUntil.value_or(now);
+        best.outcome = hasColdCandidate           ? placement_outcome::allCold
+                       : pausedUntil              ? placement_outcome::allPaused
+                       : limitedUntil && !anyFull ? placement_outcome::allLimited
+                                                  : placement_outcome::allFull;
+        best.pausedUntil = pausedUntil.value_or(limitedUntil.value_or(now));
         return best;
     }
     best.outcome = placement_outcome::chosen;
@@ -768,4 +795,17 @@
     return instance == m_instanceOf.end() ? nullptr : &m_upstreams.at(instance->second);
 }
 
+const upstream_entry *upstream_set::find(limited_upstream upstream) const
+{
+    const upstream_number *number = numberOf(std::uint64_t(upstream.key) << 32);
+    const upstream_entry *state = number != nullptr ? find(*number) : nullptr;
+    return state != nullptr && state->limitKey() == upstream ? state : nullptr;
+}
+
+bool upstream_set::mayReceive(upstream_number number, time_point now) const
+{
+    const upstream_entry *state = find(number);
+    return state != nullptr && isEligible(*state) && now >= state->ejectedUntil && now >= state->pausedUntil;
+}
+
 } // namespace nutmegtally
--- a/tests/fuzz_http_codec.cpp
+++ b/tests/fuzz_http_codec.cpp
@@ -132,7 +132,7 @@
                            ignoringExceptions([&] { platform::decodeHeldParts(bytes); });
                            ignoringExceptions([&] { decodeGossipMessage(bytes); });
                            ignoringExceptions([&] { decompressMessage(bytes); });
-                           ignoringExceptions([&] { decodeHeartbeat(bytes.data(), bytes.size()); });
+                           ignoringExceptions([&] { decodeDatagram(bytes.data(), bytes.size()); });
                            std::string why;
                            platform::decodeUpstream({"i", 1, bytes, false}, why);
                        })
--- a/tests/limited_fleet.h
+++ b/tests/limited_fleet.h
@@ -27,6 +27,7 @@
     static constexpr duration step = 5ms;
     static constexpr duration firstEventTime = 60ms;
     static constexpr duration answerTime = 800ms;
+    static constexpr duration hopTime = 3ms; // of a datagram to another router
     static constexpr std::size_t contexts = 40;
 
     struct arrival {
@@ -134,6 +135,35 @@
         });
     }
 
+    void carryOut(std::size_t router, const entry_effect::send_permit_message &message)
+    {
+        ++permitMessages;
+        const auto target = static_cast<std::size_t>(std::find(names.begin(), names.end(), message.router) - names.begin());
+        if (isCut[router] || isCut[target]) {
+            return;
+        }
+        at(hopTime, [this, router, target, content = message.message] {
+            if (const auto *request = std::get_if<permit_request>(&content)) {
+                post(target, entry_event::permit_requested {names[router], *request});
+            } else {
+                post(target, entry_event::permit_answered {std::get<permit_answer>(content)});
+            }
+        });
+    }
+
+    /// Statements travel as in heartbeats: over leaders, so that all have them after a heartbeat or two.
+    void exchangeLimits()
+    {
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            const std::vector<limit_statement> statements = routers[i].core.takeLimits(now);
+            for (std::size_t j = 0; j < routers.size() && !statements.empty() && !isCut[i]; ++j) {
+                if (j != i && !isCut[j]) {
+                    post(j, entry_event::limits_received {statements});
+                }
+            }
+        }
+    }
+
     void carryOut(std::size_t, const entry_effect::refuse &refused)
     {
         ++refusals;
@@ -173,6 +203,10 @@
                     post(i, entry_event::tick {});
                 }
             }
+            if (now >= nextExchangeAt) {
+                nextExchangeAt = now + heartbeatTime;
+                exchangeLimits();
+            }
             for (unsigned i = arrivals(random); i > 0; --i) {
                 request(anyRouter(random));
             }
@@ -220,6 +254,9 @@
     std::map<std::string, engine> engines;
     std::multimap<time_point, std::function<void()>> agenda;
     std::vector<time_point> retryAfters; // of refused requests: when their callers come back
+    duration heartbeatTime = 200ms; // of a statement to all routers
+    time_point nextExchangeAt;
+    std::size_t permitMessages = 0;
     std::size_t served = 0;
     std::size_t refusals = 0;
     std::uint64_t sent = 0;
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -394,9 +394,10 @@
     sent.load = {"domain", {{0x0102030400000000, 2, 640}}, {{4, {5, 6}}}, {{9, 10}}, load_scope::domain};
     sent.digests = {{"config", 7, 8}};
     sent.recentRouters = {11, 0xffffffff};
+    sent.limits = {{{0xfffffffe, 3}, 2.25, 40ms}, {{5, 0xffffffff}, std::nullopt, 1h}};
     sent.evidence = {{7, 1, std::nullopt, {{12, 30ms, 50ms}, {0xffffffff, 1h, 2h}}}, {0xfffffffffffffff0, 0, 2s, {}}};
     const std::string bytes = encodeHeartbeat(sent);
-    const router_heartbeat read = decodeHeartbeat(bytes.data(), bytes.size());
+    const auto read = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
     BOOST_TEST(read.name == "a");
     BOOST_TEST(read.isLeader);
     BOOST_TEST(!read.isApiReachable);
@@ -412,7 +413,24 @@
     BOOST_TEST(read.digests.at(0).hash == 8U);
     BOOST_TEST((read.load.leaving == sent.load.leaving));
     BOOST_TEST((read.evidence == sent.evidence));
-    BOOST_CHECK_THROW(decodeHeartbeat("\x93garbage", 8), std::exception);
+    BOOST_TEST((read.limits == sent.limits));
+    BOOST_CHECK_THROW(decodeDatagram("\x93garbage", 8), std::exception);
+}
+
+BOOST_AUTO_TEST_CASE(permitMessage_roundTrip_keepsAllFields)
+{
+    const permit_request asked {1ULL << 40, {{7, 8}, 0.5, 12ms}, {-1, 0xffffffff}};
+    const std::string request = encodePermitMessage({"a", asked});
+    const auto readRequest = std::get<permit_message>(decodeDatagram(request.data(), request.size()));
+    BOOST_TEST(readRequest.name == "a");
+    BOOST_TEST((std::get<permit_request>(readRequest.content) == asked));
+
+    const permit_answer given {3, {{7, 8}, std::nullopt, 0ms}, true, 1500us, {2, 9}};
+    const std::string answer = encodePermitMessage({"b", given});
+    const auto readAnswer = std::get<permit_message>(decodeDatagram(answer.data(), answer.size()));
+    BOOST_TEST(readAnswer.name == "b");
+    BOOST_TEST((std::get<permit_answer>(readAnswer.content) == given));
+    BOOST_CHECK_THROW(decodeDatagram(answer.data(), answer.size() - 1), std::exception);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
