The era of the object API's answers is decoded and logged

What operators saw: after a restore of the object API, revisions in the logs went back without a sign why. Change: answers of calls keep their head; lists and watches carry the era that the store states, and list_read logs it. No decision uses it yet.

--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -39,12 +39,14 @@
     std::vector<stored_object> objects;
     bool hasMore = false;
     store_revision asOf = 0;
+    std::uint64_t era = 0; // of the store: rises each time it was restored from an older copy; 0 if it does not tell
 };
 
 /// Result of a watch; no objects if nothing changed within its timeout.
 struct changes_received {
     std::vector<stored_object> objects;
     store_revision asOf = 0;
+    std::uint64_t era = 0; // as in page_received
 };
 
 /// The API no longer has the changes since the revision of the watch.
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -183,7 +183,7 @@
             return;
         }
         try {
-            apply(kind, decode(result.body));
+            apply(kind, decode(result.body, platform::decodeEra(result.head)));
         } catch (const std::exception &fault) {
             apply(kind, follower_event::call_failed {fault.what()});
         }
--- a/programs/serving/http_client.cpp
+++ b/programs/serving/http_client.cpp
@@ -92,6 +92,7 @@
     upstream_connection::handlers handlers;
     handlers.head = [pending](const http_head &head) {
         pending->result.status = head.status;
+        pending->result.head = head;
         return true;
     };
     handlers.body = [pending, now = m_now](std::string &&piece) {
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -74,7 +74,11 @@
         return;
     }
     log_line line;
-    line.with("kind", m_options.kind).with("objects", m_listed.size()).with("as_of", input.asOf).with("previous", m_asOf);
+    line.with("kind", m_options.kind)
+        .with("objects", m_listed.size())
+        .with("era", input.era)
+        .with("as_of", input.asOf)
+        .with("previous", m_asOf);
     effects.emplace_back(log_record {log_event::listRead, line.take()});
     m_needsList = false;
     if (input.asOf >= m_asOf) {
--- a/tests/fuzz_http_codec.cpp
+++ b/tests/fuzz_http_codec.cpp
@@ -127,8 +127,8 @@
                        [] {
                            const auto bytes = *rc::gen::string<std::string>();
                            ignoringExceptions([&] { platform::decodeRules(bytes); });
-                           ignoringExceptions([&] { platform::decodePage(bytes); });
-                           ignoringExceptions([&] { platform::decodeChanges(bytes); });
+                           ignoringExceptions([&] { platform::decodePage(bytes, 1); });
+                           ignoringExceptions([&] { platform::decodeChanges(bytes, 1); });
                            ignoringExceptions([&] { platform::decodeHeldParts(bytes); });
                            ignoringExceptions([&] { decodeGossipMessage(bytes); });
                            ignoringExceptions([&] { decompressMessage(bytes); });
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -307,17 +307,18 @@
 BOOST_AUTO_TEST_CASE(decodePageAndChanges_example_keepNamesRevisionsAndDeletions)
 {
     const auto page = platform::decodePage(
-        R"({"items":[{"metadata":{"name":"a","revision":3},"spec":{"x":1}},{"metadata":{"name":"b","revision":4}}],"has_more":true,"as_of":9})");
+        R"({"items":[{"metadata":{"name":"a","revision":3},"spec":{"x":1}},{"metadata":{"name":"b","revision":4}}],"has_more":true,"as_of":9})",
+        0);
     BOOST_TEST(page.objects.size() == 2U);
     BOOST_TEST(page.objects[0].text == R"({"x":1})");
     BOOST_TEST(page.objects[1].text == "null");
     BOOST_TEST(page.hasMore);
     BOOST_TEST(page.asOf == 9U);
-    const auto changes
-        = platform::decodeChanges(R"({"events":[{"object":{"metadata":{"name":"a","revision":12},"spec":{}},"deleted":true}],"as_of":12})");
+    const auto changes = platform::decodeChanges(
+        R"({"events":[{"object":{"metadata":{"name":"a","revision":12},"spec":{}},"deleted":true}],"as_of":12})", 0);
     BOOST_TEST(changes.objects[0].isDeleted);
-    BOOST_CHECK_THROW(platform::decodePage("{}"), std::exception);
-    BOOST_CHECK_THROW(platform::decodeChanges("<html>"), std::exception);
+    BOOST_CHECK_THROW(platform::decodePage("{}", 0), std::exception);
+    BOOST_CHECK_THROW(platform::decodeChanges("<html>", 0), std::exception);
 }
 
 BOOST_AUTO_TEST_CASE(targets_listAndWatch_matchPlatformPaths)
