Revisions carry the era of the store, and what a restored store lost stays in force until it is written again

Cause: revisions were compared across a restore, after which they are given out again for other content; answers that brought nothing were followed by the next call at once. Classes of fault: an identifier compared beyond its scope, and a retry loop without a pause. Ruled out: watches without answers, old state from other routers. Routers tell each other that they keep something. An entry that is listed again unchanged is no cold start. Why it works: within an era revisions count up as before, and across eras only what contents say of themselves decides.

--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -1,11 +1,13 @@
 // Keeps a copy of all objects of one kind in the platform's object API by list and watch: it lists the objects once, then
 // watches for changes, and lists again when the API no longer has the changes since its revision. Snapshots from other
 // routers are applied as well, so that the copy stays current while the API does not answer, or at a router that makes no
-// calls. A reducer: calls are effects, their results events.
+// calls. A store that was restored from an older copy begins an era: its revisions say nothing about those of earlier eras, and
+// what it lost stays in force until it is written again. A reducer: calls are effects, their results events.
 #pragma once
 
 #include <nutmegtally/log_events.h>
 #include <nutmegtally/reducer.h>
+#include <nutmegtally/restore_guard.h>
 #include <nutmegtally/stored_object.h>
 
 #include <cstdint>
@@ -29,6 +31,8 @@
     /// the outage return within two seconds of the API, which returns up to one call backoff after the last failed call. Drains
     /// must take effect three seconds after the outage.
     duration missingGrace = std::chrono::milliseconds(2800);
+    /// How long an object that a restored store lacks stays in force; nothing: until it is written again.
+    std::optional<duration> keepAfterRestore = std::chrono::milliseconds(2800);
 };
 
 namespace follower_event
@@ -38,15 +42,13 @@
 struct page_received {
     std::vector<stored_object> objects;
     bool hasMore = false;
-    store_revision asOf = 0;
-    std::uint64_t era = 0; // of the store: rises each time it was restored from an older copy; 0 if it does not tell
+    store_revision asOf; // without an era if the answer does not tell
 };
 
 /// Result of a watch; no objects if nothing changed within its timeout.
 struct changes_received {
     std::vector<stored_object> objects;
-    store_revision asOf = 0;
-    std::uint64_t era = 0; // as in page_received
+    store_revision asOf; // as in page_received
 };
 
 /// The API no longer has the changes since the revision of the watch.
@@ -82,7 +84,7 @@
 };
 
 struct watch_changes {
-    store_revision since = 0;
+    store_revision since;
     duration watchTimeout {0};
 };
 
@@ -127,9 +129,17 @@
     object_snapshot snapshotSince(store_revision since, time_point now) const;
 
     /// True if another router's set of objects, at revision @p asOf and with content hash @p hash, is newer and different.
-    bool isBehind(store_revision asOf, std::uint64_t hash) const
+    /// @param keepsLost As keepsLost() of the other router.
+    bool isBehind(store_revision asOf, std::uint64_t hash, bool keepsLost = false) const
     {
-        return asOf > m_asOf && (m_asOf == 0 || hash != contentHash());
+        const bool mayLack = asOf > m_asOf || (keepsLost && asOf.era == m_asOf.era);
+        return mayLack && (m_asOf == store_revision() || hash != contentHash());
+    }
+
+    /// True if objects are in force that the store lost when it was restored, and that nobody has written again.
+    bool keepsLost() const
+    {
+        return m_guard.isActive();
     }
 
     store_revision asOf() const
@@ -151,7 +161,7 @@
 private:
     struct removal {
         std::string name;
-        store_revision revision = 0; // of the state without the object
+        store_revision revision; // of the state without the object
     };
 
     enum class phase : std::uint8_t {
@@ -171,17 +181,30 @@
     void recordAnswer(time_point now, std::vector<effect> &effects);
     void startList(time_point now, std::vector<effect> &effects);
     void startWatch(time_point now, std::vector<effect> &effects);
-    void replaceAll(const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects);
+    /// Adds the known era to a revision of an answer that does not tell one.
+    store_revision withEra(store_revision revision) const;
+    /// Repeats a call that brought nothing later, and the later the more often that happens.
+    void paceNextCall(time_point now, bool hasProgress);
+    void enterEra(time_point now, store_revision asOf, std::vector<effect> &effects);
+    void replaceAll(time_point now, const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects);
+    void takeChange(time_point now, const stored_object &object, std::vector<effect> &effects);
     void applyChange(const stored_object &object, std::vector<effect> &effects);
-    void applyRemoval(const std::string &name, store_revision revision, duration grace, std::vector<effect> &effects);
+    void applyRemoval(time_point now, const std::string &name, store_revision revision, duration grace, std::vector<effect> &effects);
     void recordRemoval(const std::string &name, store_revision revision);
+    /// Takes what another router of the same era keeps in force.
+    void mergeKept(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects);
+    void endKeeping(time_point now, std::vector<effect> &effects);
+    void logMended(bool wasActive, std::vector<effect> &effects) const;
     duration missingGrace(time_point now) const;
 
     follower_options m_options;
     std::map<std::string, stored_object> m_objects;
     std::uint64_t m_contentHash = 0; // over names and revisions of m_objects; updated incrementally
     std::vector<stored_object> m_listed; // pages received of the running list
-    store_revision m_asOf = 0; // m_objects is the state at this revision or later; never decreases
+    store_revision m_asOf; // m_objects is the state at this revision or later; never decreases
+    store_revision m_watchedSince; // of the running watch
+    unsigned m_fruitless = 0; // answered calls in a row that brought nothing, and came at once
+    restore_guard m_guard;
     phase m_phase = phase::idle;
     bool m_isComplete = false;
     bool m_needsList = true; // the API may not have the changes since m_asOf
@@ -189,7 +212,7 @@
     bool m_watchesApi = true;
     bool m_usesShortWatches = true;
     std::deque<removal> m_removals; // in the order of their revisions, at most limits::maxRemovals
-    store_revision m_removalsSince = 0; // all removals after this revision are in m_removals
+    store_revision m_removalsSince; // all removals after this revision are in m_removals
     time_point m_nextCallAt;
     bool m_isStarted = false; // the first tick was received
     time_point m_failingSince;
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -24,6 +24,7 @@
 constexpr duration firstStartListDelay = 2s; // the first time the system starts, only seeds list at once; others sync from them
 constexpr duration watchTimeoutMargin = 1s; // time for the response to a watch beyond the wait itself
 constexpr duration upstreamsWatchDelay = 200ms; // batches changes: rollouts replace upstreams one by one, and calls are charged
+constexpr duration closureKeepTime = 6s; // that a closure stays which the restored object API lacks; operators write it again sooner
 constexpr duration listTimeout = 1500ms; // for one page; a slow store takes some hundred milliseconds
 constexpr duration minReportedTickGap = 1s; // a longer gap means that the process was suspended or starved of CPU
 constexpr duration shutdownIdleTimeout = 1500ms; // closes callers' connections; a busier one gets "close" in its next answer
@@ -34,6 +35,11 @@
 {
     follower_options options;
     options.kind = std::string(kind);
+    if (kind == platform::kind::configuration) {
+        options.keepAfterRestore = std::nullopt; // acknowledged rules hold until newer ones are written
+    } else if (kind == platform::kind::closures) {
+        options.keepAfterRestore = closureKeepTime;
+    }
     options.watchDelay = kind == platform::kind::upstreams ? upstreamsWatchDelay : duration(0);
     const bool isSeed = std::find(settings.seeds.begin(), settings.seeds.end(), settings.routersListen) != settings.seeds.end();
     options.initialListDelay = settings.isFirstStart && !settings.seeds.empty() && !isSeed ? firstStartListDelay : duration(0);
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -71,8 +71,8 @@
 
     /// The last compressed snapshot of a kind, reused for every router that asks for the same changes.
     struct compressed_snapshot {
-        store_revision since = 0;
-        store_revision asOf = 0;
+        store_revision since;
+        store_revision asOf;
         std::string bytes;
     };
 
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -91,7 +91,8 @@
 {
     std::vector<kind_digest> digests;
     for (std::size_t i = 0; i < objectKindCount; ++i) {
-        digests.push_back({std::string(objectKindNames[i]), m_followers[i].asOf(), m_followers[i].contentHash()});
+        digests.push_back(
+            {std::string(objectKindNames[i]), m_followers[i].asOf(), m_followers[i].contentHash(), m_followers[i].keepsLost()});
     }
     return digests;
 }
@@ -104,7 +105,7 @@
     bool isNewer = false;
     for (std::size_t i = 0; i < objectKindCount; ++i) {
         for (const kind_digest &digest : heartbeat.digests) {
-            isNewer = isNewer || (digest.kind == objectKindNames[i] && m_followers[i].isBehind(digest.asOf, digest.hash));
+            isNewer = isNewer || (digest.kind == objectKindNames[i] && m_followers[i].isBehind(digest.asOf, digest.hash, digest.keepsLost));
         }
     }
     apply(gossip_event::digest_compared {heartbeat.name, isNewer, heartbeat.isLeader && !m_election.isLeader()});
@@ -198,13 +199,14 @@
 {
     compressed_snapshot &cached = m_compressedSnapshots[static_cast<std::size_t>(kind)];
     const object_follower &own = follower(kind);
-    // During an outage of the object API the grace of missing objects depends on the time, so the snapshot is not reused.
+    // During an outage of the object API the grace of missing objects depends on the time, and so does what is kept after a restore:
+    // the snapshot is not reused.
     kind_snapshot snapshot {std::string(objectKindNames[static_cast<std::size_t>(kind)]), own.snapshotSince(since, now())};
     const bool isCached = !cached.bytes.empty() && cached.since == snapshot.state.since && cached.asOf == snapshot.state.asOf
-                          && snapshot.state.missingGrace.count() == 0;
+                          && snapshot.state.missingGrace.count() == 0 && !own.keepsLost();
     if (!isCached) {
-        const bool isCacheable = snapshot.state.missingGrace.count() == 0;
-        cached = {snapshot.state.since, isCacheable ? snapshot.state.asOf : 0, compressMessage(encodeSnapshot(snapshot))};
+        const bool isCacheable = snapshot.state.missingGrace.count() == 0 && !own.keepsLost();
+        cached = {snapshot.state.since, isCacheable ? snapshot.state.asOf : store_revision(), compressMessage(encodeSnapshot(snapshot))};
     }
     return cached.bytes;
 }
@@ -254,9 +256,10 @@
     for (std::size_t i = 0; i < objectKindCount; ++i) {
         const object_follower &own = m_followers[i];
         for (const kind_digest &digest : syncRequest.digests) {
-            const bool isNewer = digest.kind == objectKindNames[i] && own.isComplete() && own.asOf() > digest.asOf;
-            // An empty set is also sent once: a router without any state (asOf 0) cannot know that there are no objects.
-            if (isNewer && (digest.asOf == 0 || own.contentHash() != digest.hash)) {
+            const bool isNewer = own.asOf() > digest.asOf || (own.keepsLost() && own.asOf().era == digest.asOf.era);
+            // An empty set is also sent once: a router without any state cannot know that there are no objects.
+            const bool isDifferent = digest.asOf == store_revision() || own.contentHash() != digest.hash;
+            if (digest.kind == objectKindNames[i] && own.isComplete() && isNewer && isDifferent) {
                 parts.push_back(compressedSnapshot(static_cast<object_kind>(i), digest.asOf));
             }
         }
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -46,6 +46,16 @@
     return static_cast<Number>(value);
 }
 
+json toJson(const store_revision &revision)
+{
+    return json::array({revision.era, revision.number});
+}
+
+store_revision revisionFromJson(const json &revision)
+{
+    return {revision.at(0).get<std::uint64_t>(), revision.at(1).get<std::uint64_t>()};
+}
+
 json promptsToJson(const std::vector<prompt_location> &prompts)
 {
     json list = json::array();
@@ -176,7 +186,7 @@
     }
     json digests = json::object();
     for (const kind_digest &digest : message.digests) {
-        digests[digest.kind] = {digest.asOf, digest.hash};
+        digests[digest.kind] = {toJson(digest.asOf), digest.hash, digest.keepsLost};
     }
     json document = {{"name", message.name},     {"address", message.address},    {"loadAddress", message.loadAddress},
                      {"domain", message.domain}, {"routers", std::move(routers)}, {"digests", std::move(digests)}};
@@ -203,7 +213,7 @@
                                    item.at(3).get<std::string>(), age});
     }
     for (const auto &[kind, digest] : document.at("digests").items()) {
-        message.digests.push_back({kind, digest.at(0).get<store_revision>(), digest.at(1).get<std::uint64_t>()});
+        message.digests.push_back({kind, revisionFromJson(digest.at(0)), digest.at(1).get<std::uint64_t>(), digest.at(2).get<bool>()});
     }
     message.wantsPrompts = document.value("wantsPrompts", false);
     if (const auto prompts = document.find("prompts"); prompts != document.end()) {
@@ -228,11 +238,11 @@
 {
     json objects = json::array();
     for (const stored_object &object : snapshot.state.objects) {
-        objects.push_back({object.name, object.revision, object.text});
+        objects.push_back({object.name, toJson(object.revision), object.text, object.content.incarnation, object.content.number});
     }
     const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(snapshot.state.missingGrace).count();
-    const json document = {{"kind", snapshot.kind},         {"since", snapshot.state.since},     {"asOf", snapshot.state.asOf},
-                           {"objects", std::move(objects)}, {"removed", snapshot.state.removed}, {"graceMs", grace}};
+    const json document = {{"kind", snapshot.kind},         {"since", toJson(snapshot.state.since)}, {"asOf", toJson(snapshot.state.asOf)},
+                           {"objects", std::move(objects)}, {"removed", snapshot.state.removed},     {"graceMs", grace}};
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -241,12 +251,15 @@
     const json document = json::parse(text);
     kind_snapshot snapshot;
     snapshot.kind = document.at("kind").get<std::string>();
-    snapshot.state.since = document.at("since").get<store_revision>();
-    snapshot.state.asOf = document.at("asOf").get<store_revision>();
+    snapshot.state.since = revisionFromJson(document.at("since"));
+    snapshot.state.asOf = revisionFromJson(document.at("asOf"));
     snapshot.state.missingGrace = std::chrono::milliseconds(document.at("graceMs").get<std::int64_t>());
     for (const json &object : document.at("objects")) {
-        snapshot.state.objects.push_back(
-            {object.at(0).get<std::string>(), object.at(1).get<store_revision>(), object.at(2).get<std::string>(), false});
+        snapshot.state.objects.push_back({object.at(0).get<std::string>(),
+                                          revisionFromJson(object.at(1)),
+                                          object.at(2).get<std::string>(),
+                                          false,
+                                          {object.at(3).get<std::uint64_t>(), object.at(4).get<std::uint64_t>()}});
     }
     snapshot.state.removed = document.at("removed").get<std::vector<std::string>>();
     return snapshot;
@@ -300,7 +313,7 @@
     }
     json digests = json::array();
     for (const kind_digest &digest : heartbeat.digests) {
-        digests.push_back({digest.kind, digest.asOf, digest.hash});
+        digests.push_back({digest.kind, toJson(digest.asOf), digest.hash, digest.keepsLost});
     }
     json leaving = json::array();
     for (const leaving_upstream &each : load.leaving) {
@@ -356,7 +369,7 @@
     }
     for (const json &digest : document.at(10)) {
         heartbeat.digests.push_back(
-            {digest.at(0).get<std::string>(), digest.at(1).get<store_revision>(), digest.at(2).get<std::uint64_t>()});
+            {digest.at(0).get<std::string>(), revisionFromJson(digest.at(1)), digest.at(2).get<std::uint64_t>(), digest.at(3).get<bool>()});
     }
     const auto &recentRouters = document.at(11).get_ref<const std::string &>();
     for (std::string_view rest = recentRouters; !rest.empty();) {
--- a/programs/entry/gossip_codec.h
+++ b/programs/entry/gossip_codec.h
@@ -25,8 +25,9 @@
 /// Version of the objects of one kind that a router has.
 struct kind_digest {
     std::string kind;
-    store_revision asOf = 0;
+    store_revision asOf;
     std::uint64_t hash = 0; // object_follower::contentHash
+    bool keepsLost = false; // object_follower::keepsLost
 };
 
 /// Objects of one kind, in the answer to a sync.
--- a/programs/serving/http_client.h
+++ b/programs/serving/http_client.h
@@ -23,9 +23,9 @@
 
 struct call_result {
     int status = 0; // 0 if the call failed
-    http_head head; // of the answer
     std::string body;
     std::string failure; // reason of a failed call, for logs
+    http_head head {}; // of the answer
 };
 
 class http_client
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -16,13 +16,14 @@
 /// An object's part of the content hash. The parts are combined by exclusive or, so that one can be removed again.
 std::uint64_t hashOf(const stored_object &object)
 {
-    return mixHash(hashText(object.name), object.revision);
+    return mixHash(mixHash(hashText(object.name), object.revision.number), object.revision.era);
 }
 
 } // namespace
 
 object_follower::object_follower(follower_options options)
     : m_options(std::move(options))
+    , m_guard(m_options.keepAfterRestore)
 {
 }
 
@@ -47,9 +48,41 @@
     if (m_failures > 0) {
         watchTimeout = limits::watchTimeoutAfterFailure; // an early answer shows that the API is available again
     }
+    m_watchedSince = m_asOf;
     effects.emplace_back(follower_effect::watch_changes {m_asOf, watchTimeout});
 }
 
+store_revision object_follower::withEra(store_revision revision) const
+{
+    return revision.era == 0 ? store_revision(m_asOf.era, revision.number) : revision;
+}
+
+void object_follower::paceNextCall(time_point now, bool hasProgress)
+{
+    const bool isFruitless = !hasProgress && now - m_callStartedAt < limits::minCallBackoff;
+    if (!isFruitless) {
+        m_fruitless = 0;
+        return;
+    }
+    const unsigned doublings = std::min(m_fruitless, 5U);
+    ++m_fruitless;
+    m_nextCallAt = std::max(m_nextCallAt, now + std::min(limits::maxCallBackoff, limits::minCallBackoff * (1U << doublings)));
+}
+
+void object_follower::enterEra(time_point now, store_revision asOf, std::vector<effect> &effects)
+{
+    log_line line;
+    line.with("kind", m_options.kind)
+        .with("era", asOf.era)
+        .with("as_of", asOf.number)
+        .with("previous_era", m_asOf.era)
+        .with("previous", m_asOf.number);
+    effects.emplace_back(log_record {log_event::storeRestored, line.take()});
+    // Entries may also have expired while the store was away.
+    m_lastFailedAt = now;
+    m_hadOutage = true;
+}
+
 void object_follower::recordAnswer(time_point now, std::vector<effect> &effects)
 {
     if (m_failures == 0) {
@@ -67,8 +100,17 @@
     if (m_phase != phase::listing) {
         return;
     }
+    const store_revision asOf = withEra(input.asOf);
+    const bool isOtherEra = !m_listed.empty() && asOf.era != m_listed.front().revision.era;
+    if (asOf.era < m_asOf.era || isOtherEra) {
+        on(now, follower_event::call_failed {"the answer is of an earlier era, or its pages are of two"}, effects);
+        return;
+    }
     recordAnswer(now, effects);
-    m_listed.insert(m_listed.end(), input.objects.begin(), input.objects.end());
+    for (const stored_object &object : input.objects) {
+        m_listed.push_back(object);
+        m_listed.back().revision.era = asOf.era;
+    }
     if (input.hasMore && !input.objects.empty()) {
         effects.emplace_back(follower_effect::read_page {input.objects.back().name});
         return;
@@ -76,21 +118,25 @@
     log_line line;
     line.with("kind", m_options.kind)
         .with("objects", m_listed.size())
-        .with("era", input.era)
-        .with("as_of", input.asOf)
-        .with("previous", m_asOf);
+        .with("era", asOf.era)
+        .with("as_of", asOf.number)
+        .with("previous", m_asOf.number);
     effects.emplace_back(log_record {log_event::listRead, line.take()});
     m_needsList = false;
-    if (input.asOf >= m_asOf) {
+    m_nextCallAt = now;
+    paceNextCall(now, asOf > m_asOf);
+    if (asOf >= m_asOf) {
+        if (m_isComplete && asOf.era > m_asOf.era) {
+            enterEra(now, asOf, effects);
+        }
         // Later pages may have newer objects than the first; the watch that follows repeats the changes made meanwhile.
-        m_asOf = input.asOf;
-        replaceAll(m_listed, missingGrace(now), effects);
+        m_asOf = asOf;
+        replaceAll(now, m_listed, missingGrace(now), effects);
     }
     m_listed.clear();
     m_isComplete = true;
     m_phase = phase::idle;
-    m_nextCallAt = now;
-    if (m_watchesApi) {
+    if (m_watchesApi && m_nextCallAt == now) {
         startWatch(now, effects);
     }
 }
@@ -100,22 +146,37 @@
     if (m_phase != phase::watching) {
         return;
     }
+    const store_revision asOf = withEra(input.asOf);
     recordAnswer(now, effects);
-    for (const stored_object &object : input.objects) {
-        if (object.isDeleted) {
-            const auto known = m_objects.find(object.name);
-            if (known != m_objects.end() && known->second.revision <= object.revision) {
-                applyRemoval(object.name, object.revision, missingGrace(now), effects);
-            } else if (known == m_objects.end()) {
-                recordRemoval(object.name, object.revision); // other routers may have the object
-            }
-        } else {
-            applyChange(object, effects);
+    if (asOf.era != m_watchedSince.era) {
+        // Changes since a revision that means another state now: only a list tells what changed.
+        m_needsList = true;
+        m_phase = phase::idle;
+        m_nextCallAt = now;
+        paceNextCall(now, false);
+        return;
+    }
+    const bool wasKeeping = m_guard.isActive();
+    for (stored_object object : input.objects) {
+        object.revision.era = asOf.era;
+        if (!object.isDeleted) {
+            takeChange(now, object, effects);
+            continue;
+        }
+        const auto known = m_objects.find(object.name);
+        m_guard.settle(object.name);
+        m_guard.recordRemoval(object.name, object.content, asOf.era, now);
+        if (known != m_objects.end() && known->second.revision <= object.revision) {
+            applyRemoval(now, object.name, object.revision, missingGrace(now), effects);
+        } else if (known == m_objects.end()) {
+            recordRemoval(object.name, object.revision); // other routers may have the object
         }
     }
-    m_asOf = std::max(m_asOf, input.asOf);
-    m_phase = phase::idle;
+    logMended(wasKeeping, effects);
     m_nextCallAt = now + (input.objects.empty() ? duration(0) : m_options.watchDelay);
+    paceNextCall(now, asOf > m_asOf || !input.objects.empty());
+    m_asOf = std::max(m_asOf, asOf);
+    m_phase = phase::idle;
     if (m_watchesApi && m_nextCallAt == now) {
         startWatch(now, effects);
     }
@@ -129,7 +190,12 @@
     }
     recordAnswer(now, effects);
     m_needsList = true;
-    startList(now, effects);
+    m_phase = phase::idle;
+    m_nextCallAt = now;
+    paceNextCall(now, false);
+    if (m_fruitless <= 1) {
+        startList(now, effects);
+    }
 }
 
 void object_follower::on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects)
@@ -154,7 +220,7 @@
     m_nextCallAt = now + std::min(limits::maxCallBackoff, limits::minCallBackoff * (1U << doublings));
     if (m_failures == 2) {
         log_line line;
-        line.with("kind", m_options.kind).with("why", input.why).with("as_of", m_asOf);
+        line.with("kind", m_options.kind).with("why", input.why).with("as_of", m_asOf.number);
         effects.emplace_back(log_record {log_event::platformUnreachable, line.take()});
     }
 }
@@ -162,47 +228,79 @@
 void object_follower::on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects)
 {
     const object_snapshot &snapshot = input.snapshot;
+    if (snapshot.asOf <= m_asOf && snapshot.asOf.era == m_asOf.era && snapshot.since == store_revision()) {
+        mergeKept(now, snapshot.objects, effects);
+    }
     if (snapshot.asOf <= m_asOf || snapshot.since > m_asOf) {
         return;
     }
     log_line line;
     line.with("kind", m_options.kind)
         .with("from", input.from)
-        .with("as_of", snapshot.asOf)
-        .with("previous", m_asOf)
-        .with("since", snapshot.since)
+        .with("era", snapshot.asOf.era)
+        .with("as_of", snapshot.asOf.number)
+        .with("previous", m_asOf.number)
+        .with("since", snapshot.since.number)
         .with("objects", snapshot.objects.size())
         .with("removed", snapshot.removed.size());
     effects.emplace_back(log_record {log_event::newsTaken, line.take()});
+    if (m_isComplete && snapshot.asOf.era > m_asOf.era) {
+        enterEra(now, snapshot.asOf, effects);
+    }
     const duration grace = std::max(snapshot.missingGrace, missingGrace(now));
-    if (snapshot.since == 0) {
-        m_asOf = snapshot.asOf;
-        replaceAll(snapshot.objects, grace, effects);
+    m_asOf = snapshot.asOf;
+    if (snapshot.since == store_revision()) {
+        replaceAll(now, snapshot.objects, grace, effects);
     } else {
+        const bool wasKeeping = m_guard.isActive();
         for (const std::string &name : snapshot.removed) {
-            applyRemoval(name, snapshot.asOf, grace, effects);
+            m_guard.settle(name);
+            applyRemoval(now, name, snapshot.asOf, grace, effects);
         }
         for (const stored_object &object : snapshot.objects) {
-            applyChange(object, effects);
+            takeChange(now, object, effects);
         }
-        m_asOf = snapshot.asOf;
+        logMended(wasKeeping, effects);
     }
     m_isComplete = true;
     m_needsList = false;
 }
 
+void object_follower::mergeKept(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects)
+{
+    for (const stored_object &object : objects) {
+        const auto known = m_objects.find(object.name);
+        const bool isLacking
+            = known == m_objects.end() && !m_guard.isHeldBack(object.name) && !m_guard.wasRemovedIn(object.name, m_asOf.era);
+        const bool isNewer = known != m_objects.end() && object.content > known->second.content;
+        if (object.revision.era == m_asOf.era || !(isLacking || isNewer)) {
+            continue;
+        }
+        if (isNewer) {
+            const stored_object older = known->second;
+            applyChange(object, effects);
+            m_guard.holdsBack(&object, older, now);
+        } else {
+            applyChange(object, effects);
+            m_guard.keep(object.name, now);
+        }
+    }
+}
+
 object_snapshot object_follower::snapshotSince(store_revision since, time_point now) const
 {
     object_snapshot snapshot;
     snapshot.asOf = m_asOf;
     snapshot.missingGrace = missingGrace(now);
-    snapshot.since = since >= m_removalsSince ? since : 0;
+    // What the store lost is only in whole snapshots: its revisions are of an earlier era.
+    const bool isDifference = since.era == m_asOf.era && since >= m_removalsSince && !m_guard.isActive();
+    snapshot.since = isDifference ? since : store_revision();
     for (const auto &[name, object] : m_objects) {
-        if (object.revision > snapshot.since) {
+        if (!isDifference || object.revision > snapshot.since) {
             snapshot.objects.push_back(object);
         }
     }
-    if (snapshot.since > 0) {
+    if (isDifference) {
         for (const removal &each : m_removals) {
             if (each.revision > snapshot.since && !m_objects.contains(each.name)) {
                 snapshot.removed.push_back(each.name);
@@ -231,6 +329,7 @@
         m_isStarted = true;
         m_nextCallAt = std::max(m_nextCallAt, now + m_options.initialListDelay);
     }
+    endKeeping(now, effects);
     // Until it has all objects, every router lists them itself: the routers that could send them may have started with it.
     if (m_phase != phase::idle || now < m_nextCallAt || (!m_watchesApi && m_isComplete)) {
         return;
@@ -242,8 +341,9 @@
     }
 }
 
-void object_follower::replaceAll(const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects)
+void object_follower::replaceAll(time_point now, const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects)
 {
+    const bool wasKeeping = m_guard.isActive();
     std::unordered_set<std::string> listed;
     for (const stored_object &object : objects) {
         listed.insert(object.name);
@@ -255,31 +355,64 @@
         }
     }
     for (const std::string &name : missing) {
-        applyRemoval(name, m_asOf, grace, effects);
+        if (m_objects.at(name).revision.era < m_asOf.era) {
+            m_guard.keep(name, now);
+        } else {
+            applyRemoval(now, name, m_asOf, grace, effects);
+        }
     }
     for (const stored_object &object : objects) {
-        applyChange(object, effects);
+        takeChange(now, object, effects);
     }
+    if (!wasKeeping && m_guard.isActive()) {
+        log_line line;
+        line.with("kind", m_options.kind).with("era", m_asOf.era).with("kept", m_guard.kept()).with("held_back", m_guard.heldBack());
+        effects.emplace_back(log_record {log_event::lostObjectsKept, line.take()});
+    }
+    logMended(wasKeeping, effects);
     // Objects that were added and removed between the two states were never seen here, so earlier removals are incomplete.
     m_removals.clear();
     m_removalsSince = m_asOf;
 }
 
-void object_follower::applyChange(const stored_object &object, std::vector<effect> &effects)
+void object_follower::takeChange(time_point now, const stored_object &object, std::vector<effect> &effects)
 {
-    stored_object &known = m_objects[object.name];
-    if (known.revision >= object.revision) {
+    const auto known = m_objects.find(object.name);
+    if (known != m_objects.end() && known->second.revision >= object.revision) {
+        return;
+    }
+    const bool isKeptElsewhere = object.revision.era < m_asOf.era;
+    if (isKeptElsewhere && m_guard.wasRemovedIn(object.name, m_asOf.era)) {
+        return;
+    }
+    if (m_guard.holdsBack(known == m_objects.end() ? nullptr : &known->second, object, now)) {
         return;
     }
+    m_guard.settle(object.name);
+    if (isKeptElsewhere) {
+        m_guard.keep(object.name, now);
+    }
+    applyChange(object, effects);
+}
+
+void object_follower::applyChange(const stored_object &object, std::vector<effect> &effects)
+{
+    stored_object &known = m_objects[object.name];
+    // After a restore the store lists all objects with revisions of the new era, most of them unchanged.
+    const bool isSame = known.name == object.name && known.text == object.text && known.revision.era != object.revision.era;
     m_contentHash ^= known.name.empty() ? 0 : hashOf(known); // an empty name: the object is new
     m_contentHash ^= hashOf(object);
     known = object;
-    effects.emplace_back(follower_effect::object_changed {object});
+    if (!isSame) {
+        effects.emplace_back(follower_effect::object_changed {object});
+    }
 }
 
-void object_follower::applyRemoval(const std::string &name, store_revision revision, duration grace, std::vector<effect> &effects)
+void object_follower::applyRemoval(time_point now, const std::string &name, store_revision revision, duration grace,
+                                   std::vector<effect> &effects)
 {
     if (const auto known = m_objects.find(name); known != m_objects.end()) {
+        m_guard.recordRemoval(name, known->second.content, revision.era, now);
         m_contentHash ^= hashOf(known->second);
         m_objects.erase(known);
     }
@@ -287,6 +420,27 @@
     effects.emplace_back(follower_effect::object_removed {name, grace});
 }
 
+void object_follower::endKeeping(time_point now, std::vector<effect> &effects)
+{
+    const bool wasKeeping = m_guard.isActive();
+    for (const std::string &name : m_guard.takeExpired(now)) {
+        applyRemoval(now, name, m_asOf, duration(0), effects);
+    }
+    for (const stored_object &object : m_guard.takeReleased(now)) {
+        applyChange(object, effects);
+    }
+    logMended(wasKeeping, effects);
+}
+
+void object_follower::logMended(bool wasActive, std::vector<effect> &effects) const
+{
+    if (wasActive && !m_guard.isActive()) {
+        log_line line;
+        line.with("kind", m_options.kind).with("era", m_asOf.era).with("as_of", m_asOf.number);
+        effects.emplace_back(log_record {log_event::lostObjectsSettled, line.take()});
+    }
+}
+
 void object_follower::recordRemoval(const std::string &name, store_revision revision)
 {
     m_removals.push_back({name, revision});
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -86,9 +86,10 @@
         same.coldFor = record.coldFor;
         const bool changed = !(same == record) || state.isMissing;
         m_servicesChanged = m_servicesChanged || state.record.service != record.service;
+        // An entry that is only listed again, for instance after the object API was restored, is no start.
+        state.coldUntil = record.coldFor == state.record.coldFor ? state.coldUntil : coldUntil;
         state.record = record;
         state.isMissing = false;
-        state.coldUntil = coldUntil;
         return changed;
     }
     upstream_entry state;
--- a/tests/e2e_entry.py
+++ b/tests/e2e_entry.py
@@ -55,6 +55,27 @@
         wait_for(lambda: status_of(router, "/added/1", f"d{i}{time.monotonic()}") == 404, 2, "removed route")
 
 
+def test_configuration_storeComesBackFromAnOlderCopy_holdsAndGoesOn(fleet: Fleet) -> None:
+    """Guards against a confirmed route that is lost with the copy, and against later changes whose revisions were given out before."""
+    copy = fleet.store.copy()
+    fleet.configure(extra_routes=("confirmed",))
+    for router in fleet.routers:
+        wait_for(lambda: status_of(router, "/confirmed/1", f"r{time.monotonic()}") == 200, 2, "added route")
+    fleet.store.restore(copy, 0.5)
+    calls = fleet.store.calls
+    end = time.monotonic() + 1.5
+    while time.monotonic() < end:
+        assert all(status_of(router, "/confirmed/1", f"h{time.monotonic()}") == 200 for router in fleet.routers)
+        time.sleep(0.05)
+    assert fleet.store.calls - calls < 60, fleet.store.calls - calls
+    fleet.configure(extra_routes=("confirmed", "later"))  # gets the revision that the lost one had
+    for router in fleet.routers:
+        wait_for(lambda: status_of(router, "/later/1", f"l{time.monotonic()}") == 200, 2, "route added after the restore")
+    fleet.configure()
+    for router in fleet.routers:
+        wait_for(lambda: status_of(router, "/later/1", f"m{time.monotonic()}") == 404, 2, "removed route")
+
+
 def test_connectionToStore_refused_syncsFromPeer(fleet: Fleet) -> None:
     router = fleet.routers[0]
     fleet.store_proxies[router.name].mode = "refuse"
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -105,7 +105,7 @@
         upstream = Upstream(name, random.Random(self.rng.random()))
         self.upstreams[name] = upstream
         self.proxies[name] = Proxy(upstream.address)
-        self.entries[name] = upstream_entry(service, self.proxies[name].address, domain)
+        self.entries[name] = {**upstream_entry(service, self.proxies[name].address, domain), "born": 1, "sequence": 1}
         self.store.put("servers", name, self.entries[name])
         return upstream
 
@@ -115,7 +115,7 @@
         return self.version
 
     def set_state(self, name: str, state: str) -> None:
-        self.entries[name] = {**self.entries[name], "state": state}
+        self.entries[name] = {**self.entries[name], "state": state, "sequence": self.entries[name]["sequence"] + 1}
         self.store.put("servers", name, self.entries[name])
 
     def wait_ready(self, seconds: float = 10) -> None:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -78,6 +78,8 @@
         self.history = []  # entries of (revision, kind, object, deleted)
         self.expired_revision = 0  # the history up to this revision has expired
         self.revision = 1
+        self.era = 1  # rises with each restore
+        self.written = set()  # (kind, name) of what was written or deleted since
         self.mode = "up"  # up; busy: status 503; silent: no answer; reset: connections are reset
         self.calls = 0
         store = self
@@ -97,12 +99,14 @@
             self.revision += 1
             obj = {"metadata": {"name": name, "revision": self.revision}, "spec": spec, "status": {}}
             self.objects[kind, name] = obj
+            self.written.add((kind, name))
             self.history.append((self.revision, kind, obj, False))
             self.lock.notify_all()
             return self.revision
 
     def delete(self, kind: str, name: str) -> None:
         with self.lock:
+            self.written.add((kind, name))
             if (obj := self.objects.pop((kind, name), None)) is None:
                 return
             self.revision += 1
@@ -116,6 +120,33 @@
             self.history.clear()
             self.lock.notify_all()
 
+    def copy(self):
+        with self.lock:
+            return dict(self.objects), list(self.history), self.revision
+
+    def restore(self, copy, away_s: float):
+        """Goes away for a moment and comes back from a copy. Returns what was lost, for write_again()."""
+        self.mode = "reset"
+        time.sleep(away_s)
+        with self.lock:
+            lost = self.objects
+            self.objects, self.history, self.revision = dict(copy[0]), list(copy[1]), copy[2]
+            self.era += 1
+            self.written.clear()
+            self.mode = "up"
+            self.lock.notify_all()
+        return lost
+
+    def write_again(self, copy, lost) -> None:
+        """The writers repeat what the copy lacks, unless they have written something newer since."""
+        for key in lost.keys() | copy[0].keys():
+            if key in self.written:
+                continue
+            if key not in lost:
+                self.delete(*key)
+            elif lost[key] is not copy[0].get(key):
+                self.put(*key, lost[key]["spec"])
+
     def serve(self, sock, method, target, headers, body) -> bool:
         with self.lock:
             self.calls += 1
@@ -132,12 +163,13 @@
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         kind = url.path.removeprefix("/nutmegtally/objects/")
+        era = self.era
         status, answer = self.watch(kind, query) if "watch" in query else self.page(kind, query)
-        if self.mode != "up":
+        if self.mode != "up" or self.era != era:
             reset(sock)
             return False
         data = json.dumps(answer).encode()
-        sock.sendall(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(data)) + data)
+        sock.sendall(b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, era, len(data)) + data)
         return True
 
     def page(self, kind, query):
@@ -151,7 +183,7 @@
         end = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
         with self.lock:
             while True:
-                if since < self.expired_revision:
+                if since < self.expired_revision or since > self.revision:
                     return 410, {"message": "gone"}
                 events = [{"object": o, "deleted": d} for r, k, o, d in self.history if k == kind and r > since]
                 left = end - time.monotonic()
--- a/tests/soak_entry.py
+++ b/tests/soak_entry.py
@@ -40,6 +40,7 @@
         self.rng = random.Random(seed)
         self.fleet = Fleet(binary, routers=3, engines=3, desks=3, seed=seed)
         self.lock = threading.Lock()
+        self.drill = threading.Lock()
         self.stop = threading.Event()
         self.failures = []
         self.outcomes = {}  # (kind, status) by request id
@@ -128,7 +129,7 @@
         """Starts random faults, which may overlap. Each one ends by itself."""
         faults = (self.upstream_fault, self.upstream_fault, self.proxy_fault, self.proxy_fault, self.store_fault, self.store_proxy_fault, self.pause_router,
                   self.kill_router, self.terminate_router, self.reconfigure, self.drain_and_restore, self.close_domain, self.expire_history,
-                  self.reset_connections)
+                  self.reset_connections, self.restore_store)
         threads = []
         while time.monotonic() < self.begin + self.seconds:
             thread = threading.Thread(target=self.rng.choice(faults), args=(random.Random(self.rng.random()),), daemon=True)
@@ -179,6 +180,17 @@
         self.record("store: history gone")
         self.fleet.store.expire_history()
 
+    def restore_store(self, rng) -> None:
+        with self.drill:  # writers repeat what one drill lost before the next
+            copy = self.fleet.store.copy()
+            time.sleep(rng.uniform(0.3, 2))
+            with self.lock:
+                lost = self.fleet.store.restore(copy, rng.uniform(0.1, 0.4))
+            self.record(f"store: restored, era {self.fleet.store.era}")
+            time.sleep(rng.uniform(0.1, 0.8))
+            with self.lock:
+                self.fleet.store.write_again(copy, lost)
+
     def pause_router(self, rng) -> None:
         router = rng.choice(self.fleet.routers)
         self.record(f"{router.name}: paused")
--- a/tests/test_object_follower.cpp
+++ b/tests/test_object_follower.cpp
@@ -112,7 +112,7 @@
     BOOST_TEST(follower.isComplete());
     BOOST_TEST(follower.objects().size() == 2);
     BOOST_REQUIRE(effect<follower_effect::watch_changes>() != nullptr);
-    BOOST_TEST(effect<follower_effect::watch_changes>()->since == 10);
+    BOOST_TEST(effect<follower_effect::watch_changes>()->since.number == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(change_olderThanKnown_isIgnored)
@@ -120,7 +120,7 @@
     start();
     at(1s, follower_event::changes_received {{object("b", 5)}, 11});
     BOOST_TEST(effect<follower_effect::object_changed>() == nullptr);
-    BOOST_TEST(follower.objects().at("b").revision == 7);
+    BOOST_TEST(follower.objects().at("b").revision.number == 7U);
 }
 
 BOOST_AUTO_TEST_CASE(deletion_reachableApi_hasNoGrace)
@@ -228,13 +228,13 @@
 {
     start();
     at(1s, all({object("a", 3), object("c", 15)}, 16));
-    BOOST_TEST(follower.asOf() == 16);
+    BOOST_TEST(follower.asOf().number == 16U);
     BOOST_TEST(follower.objects().contains("c"));
     BOOST_TEST(!follower.objects().contains("b"));
     // A change that is older than the snapshot.
     at(2s, follower_event::changes_received {{object("c", 14)}, 14});
-    BOOST_TEST(follower.objects().at("c").revision == 15);
-    BOOST_TEST(follower.asOf() == 16);
+    BOOST_TEST(follower.objects().at("c").revision.number == 15U);
+    BOOST_TEST(follower.asOf().number == 16U);
 }
 
 BOOST_AUTO_TEST_CASE(snapshot_olderThanOwn_isIgnored)
@@ -250,8 +250,8 @@
     at(0ms, follower_event::tick {});
     at(5ms, all({object("a", 30)}, 31));
     at(9ms, follower_event::page_received {{object("a", 3)}, false, 10});
-    BOOST_TEST(follower.objects().at("a").revision == 30);
-    BOOST_TEST(follower.asOf() == 31);
+    BOOST_TEST(follower.objects().at("a").revision.number == 30U);
+    BOOST_TEST(follower.asOf().number == 31U);
 }
 
 BOOST_AUTO_TEST_CASE(pause_afterChanges_delaysTheNextWait)
@@ -313,7 +313,7 @@
     at(61s, follower_event::role_changed {true, false});
     at(61s, follower_event::tick {});
     BOOST_REQUIRE(effect<follower_effect::watch_changes>() != nullptr);
-    BOOST_TEST(effect<follower_effect::watch_changes>()->since == 12U);
+    BOOST_TEST(effect<follower_effect::watch_changes>()->since.number == 12U);
 }
 
 BOOST_AUTO_TEST_CASE(roleWithoutWatching_failedWatch_isNoUnreachableApi)
@@ -343,19 +343,19 @@
     const store_revision before = follower.asOf();
     at(1s, follower_event::changes_received {{object("a", 12), deleted("b", 13), object("d", 14), deleted("never-seen", 15)}, 15});
     const object_snapshot changed = follower.snapshotSince(before, time_point(1s));
-    BOOST_TEST(changed.since == before);
+    BOOST_TEST((changed.since == before));
     BOOST_TEST(changed.objects.size() == 2U);
     BOOST_TEST(changed.removed.size() == 2U);
     effects.clear();
     other.apply(time_point(1s), follower_event::snapshot_received {changed, "router"}, effects);
     BOOST_TEST(other.contentHash() == follower.contentHash());
-    BOOST_TEST(other.asOf() == follower.asOf());
+    BOOST_TEST((other.asOf() == follower.asOf()));
 }
 
 BOOST_AUTO_TEST_CASE(snapshotSince_beforeTheOwnFirstList_isTheWholeState)
 {
     start();
-    BOOST_TEST(follower.snapshotSince(follower.asOf() - 1, time_point(1s)).since == 0U);
+    BOOST_TEST((follower.snapshotSince(follower.asOf().number - 1, time_point(1s)).since == store_revision()));
     BOOST_TEST(follower.snapshotSince(0, time_point(1s)).objects.size() == follower.objects().size());
 }
 
@@ -363,7 +363,8 @@
 {
     start();
     const std::uint64_t hash = follower.contentHash();
-    at(1s, follower_event::snapshot_received {{follower.asOf() + 5, follower.asOf() + 9, {object("z", 99)}, {}, 0ms}, "router"});
+    at(1s,
+       follower_event::snapshot_received {{follower.asOf().number + 5, follower.asOf().number + 9, {object("z", 99)}, {}, 0ms}, "router"});
     BOOST_TEST(follower.contentHash() == hash);
 }
 
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -313,7 +313,7 @@
     BOOST_TEST(page.objects[0].text == R"({"x":1})");
     BOOST_TEST(page.objects[1].text == "null");
     BOOST_TEST(page.hasMore);
-    BOOST_TEST(page.asOf == 9U);
+    BOOST_TEST(page.asOf.number == 9U);
     const auto changes = platform::decodeChanges(
         R"({"events":[{"object":{"metadata":{"name":"a","revision":12},"spec":{}},"deleted":true}],"as_of":12})", 0);
     BOOST_TEST(changes.objects[0].isDeleted);
@@ -321,6 +321,25 @@
     BOOST_CHECK_THROW(platform::decodeChanges("<html>", 0), std::exception);
 }
 
+// Guards against revisions of a restored store that are taken for those of the time before.
+BOOST_AUTO_TEST_CASE(decodePage_eraAndVersionOfTheContent_areRead)
+{
+    http_head answerHead;
+    BOOST_TEST(platform::decodeEra(answerHead) == 0U);
+    answerHead.fields = {{"store-era", "4"}};
+    BOOST_TEST(platform::decodeEra(answerHead) == 4U);
+    answerHead.fields = {{"Store-Era", "later"}};
+    BOOST_TEST(platform::decodeEra(answerHead) == 0U);
+    const auto page = platform::decodePage(
+        R"({"items":[{"metadata":{"name":"i","revision":3},"spec":{"born":70,"sequence":8,"version":2}},)"
+        R"({"metadata":{"name":"main","revision":5},"spec":{"version":11}},{"metadata":{"name":"z","revision":6}}],"as_of":9})",
+        4);
+    BOOST_TEST((page.asOf == store_revision(4, 9)));
+    BOOST_TEST((page.objects.at(0).content == content_version {70, 8}));
+    BOOST_TEST((page.objects.at(1).content == content_version {0, 11}));
+    BOOST_TEST((page.objects.at(2).content == content_version {}));
+}
+
 BOOST_AUTO_TEST_CASE(targets_listAndWatch_matchPlatformPaths)
 {
     BOOST_TEST(platform::listTarget("servers", {""}) == "/nutmegtally/objects/servers");
@@ -336,13 +355,15 @@
     message.loadAddress = "10.0.0.1:2";
     message.domain = "d";
     message.routers = {{"b", "10.0.0.2:1", "10.0.0.2:2", "d", 1500ms}};
-    message.digests = {{"config", 9, 77}};
+    message.digests = {{"config", {3, 9}, 77, true}};
     message.wantsPrompts = true;
     message.prompts = {{5, {6, 7}}};
     const gossip_message read = decodeGossipMessage(decompressMessage(compressMessage(encodeGossipMessage(message))));
     BOOST_TEST(read.name == "a");
     BOOST_TEST((read.routers.at(0).age == 1500ms));
     BOOST_TEST(read.digests.at(0).hash == 77U);
+    BOOST_TEST((read.digests.at(0).asOf == store_revision(3, 9)));
+    BOOST_TEST(read.digests.at(0).keepsLost);
     BOOST_TEST(read.routers.at(0).domain == "d");
     BOOST_TEST(read.wantsPrompts);
     BOOST_TEST(read.prompts.at(0).parts.at(1) == 7U);
@@ -350,11 +371,11 @@
 
 BOOST_AUTO_TEST_CASE(snapshot_roundTrip_keepsAllFields)
 {
-    const kind_snapshot sent {"config", {7, 9, {{"main", 8, std::string(5000, 'x'), false}}, {"gone"}, 1500ms}};
+    const kind_snapshot sent {"config", {7, 9, {{"main", {2, 8}, std::string(5000, 'x'), false, {5, 6}}}, {"gone"}, 1500ms}};
     const kind_snapshot read = decodeSnapshot(decompressMessage(compressMessage(encodeSnapshot(sent))));
     BOOST_TEST(read.kind == "config");
-    BOOST_TEST(read.state.since == 7U);
-    BOOST_TEST(read.state.asOf == 9U);
+    BOOST_TEST(read.state.since.number == 7U);
+    BOOST_TEST(read.state.asOf.number == 9U);
     BOOST_TEST((read.state.objects == sent.state.objects));
     BOOST_TEST((read.state.removed == sent.state.removed));
     BOOST_TEST((read.state.missingGrace == 1500ms));
@@ -393,7 +414,7 @@
     sent.routersCovered = 20;
     sent.interval = 150ms;
     sent.load = {"domain", {{0x0102030400000000, 2, 640}}, {{4, {5, 6}}}, {{9, 10}}, load_scope::domain};
-    sent.digests = {{"config", 7, 8}};
+    sent.digests = {{"config", {1, 7}, 8, true}};
     sent.recentRouters = {11, 0xffffffff};
     sent.limits = {{{0xfffffffe, 3}, 2.25, 40ms}, {{5, 0xffffffff}, std::nullopt, 1h}};
     sent.evidence = {{7, 1, std::nullopt, {{12, 30ms, 50ms}, {0xffffffff, 1h, 2h}}}, {0xfffffffffffffff0, 0, 2s, {}}};
@@ -412,6 +433,8 @@
     BOOST_TEST(read.load.usage.at(0).pendingPrefillTokens == 640U);
     BOOST_TEST(read.load.prompts.at(0).parts.at(1) == 6U);
     BOOST_TEST(read.digests.at(0).hash == 8U);
+    BOOST_TEST((read.digests.at(0).asOf == store_revision(1, 7)));
+    BOOST_TEST(read.digests.at(0).keepsLost);
     BOOST_TEST((read.load.leaving == sent.load.leaving));
     BOOST_TEST((read.evidence == sent.evidence));
     BOOST_TEST((read.limits == sent.limits));
