Fencing tokens never go back with the object API

What operators would see: after a restore of the object API, engines that check fencing tokens refuse all orders. The next token was counted from the lease that was read, and a version that is given out again counted as unchanged whatever the content. Ruled out: two holders at once, as each counts its lease from the start of its own write. Change: the next token is above all that this process has seen, and the content of the lease is compared as well.

--- a/include/nutmegtally/orders.h
+++ b/include/nutmegtally/orders.h
@@ -203,6 +203,7 @@
     order_options m_options;
     std::uint64_t m_counter = 0;
     order_lease m_lease; // content of the lease object when last read or written
+    std::uint64_t m_highestToken = 0; // ever seen: the object may come back from an older copy
     std::string m_version;
     time_point m_versionSeenAt; // when m_version was first seen; the lease expires leaseDuration later
     std::optional<time_point> m_leaseExpiry; // set while this process is holder: start of the last renewal + leaseDuration
--- a/src/orders.cpp
+++ b/src/orders.cpp
@@ -84,6 +84,7 @@
         return;
     }
     const bool exists = result.status == object_status::ok;
+    const order_lease before = m_lease;
     try {
         m_lease = exists ? decodeLease(result.value) : order_lease();
     } catch (const error &fault) {
@@ -91,7 +92,9 @@
         m_nextCallAt = now + m_options.retryDelay;
         return;
     }
-    const bool isChanged = !exists || result.version != m_version;
+    // A restored object API gives versions out again, so the content is compared as well.
+    const bool isChanged = !exists || result.version != m_version || !(m_lease == before);
+    m_highestToken = std::max(m_highestToken, m_lease.fencingToken);
     m_version = exists ? result.version : std::string();
     const bool isOwnLease = exists && m_lease == m_writtenLease;
     if (isOwnLease && now < m_writeStartedAt + m_options.leaseDuration) {
@@ -110,7 +113,7 @@
     // Independent of the holder's clock: the lease has expired if this process has not seen the object change for
     // leaseDuration.
     if (!exists || now >= m_versionSeenAt + m_options.leaseDuration) {
-        writeLease(now, m_lease.fencingToken + 1, effects);
+        writeLease(now, m_highestToken + 1, effects);
     }
 }
 
@@ -125,6 +128,7 @@
         return;
     }
     m_lease = m_writtenLease;
+    m_highestToken = std::max(m_highestToken, m_lease.fencingToken);
     m_version = result.version;
     m_versionSeenAt = m_writeStartedAt;
     m_leaseExpiry = m_writeStartedAt + m_options.leaseDuration;
--- a/tests/test_orders.cpp
+++ b/tests/test_orders.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace nutmegtally;
 using namespace std::chrono_literals;
 
@@ -113,6 +115,26 @@
     BOOST_TEST(first.core.fencingToken() == 2U);
 }
 
+// Guards against fencing tokens that go back with the object API: engines refuse all orders with a token that is below one they saw.
+BOOST_AUTO_TEST_CASE(orders_leaseFromAnOlderCopy_isAcquiredWithANewToken)
+{
+    runFor(20s, {&first});
+    const std::string copy = value;
+    const std::uint64_t copyVersion = version;
+    now += 10min;
+    runFor(60s, {&second});
+    BOOST_REQUIRE(second.core.isHolder(now));
+    BOOST_REQUIRE(second.core.fencingToken() == 2U);
+    now += 10min;
+    runFor(60s, {&first, &second});
+    const std::uint64_t highest = std::max(first.core.fencingToken(), second.core.fencingToken());
+    value = copy;
+    version = copyVersion;
+    runFor(3min, {&first, &second});
+    BOOST_REQUIRE((first.core.isHolder(now) || second.core.isHolder(now)));
+    BOOST_TEST((first.core.isHolder(now) ? first : second).core.fencingToken() > highest);
+}
+
 BOOST_AUTO_TEST_CASE(orders_loads_arePacedByWeightStoreAndColdCapacity)
 {
     runFor(20s, {&first});
