The owner of a ledger shard stores again what a restored object API has lost

What callers would see: a booking runs twice if its claim was lost with the copy. The owner took the conflict of its next commit for a take-over and forgot its claims; with a missing head it went on with a record of nothing (memory access violation in the test). Evidence: ledger_objectsFromAnOlderCopy_* and ledger_headMissingInAnOlderCopy_* failed before (key executed twice, crash). Change: whoever takes a shard over raises its epoch, so a head of the own name, or none, with an epoch that is not higher comes from an older copy.

--- a/src/ledger_shard.h
+++ b/src/ledger_shard.h
@@ -86,6 +86,7 @@
     void dispatchRead(const event_context &context, const ledger_event::object_read &result);
     void commitWriteDone(const event_context &context, const ledger_event::object_written &result);
     void commitReadBackDone(const event_context &context, const ledger_event::object_read &result);
+    void writeAgain(const event_context &context, const ledger_head &head, const std::string &version);
     void commitStored(const event_context &context, const std::string &version);
     void commitFailed(const event_context &context);
     void entryStored(const event_context &context, ledger_record &record);
--- a/src/ledger_shard_commit.h
+++ b/src/ledger_shard_commit.h
@@ -207,9 +207,40 @@
         commitStored(context, result.version);
         return;
     }
+    // Whoever takes a shard over raises its epoch. An older head comes from an older copy of the objects.
+    const bool isOwn = head.owner == m_options.self || head.owner.empty();
+    if (!m_commit->takeOver && isOwn && head.epoch <= m_epoch) {
+        writeAgain(context, head, result.status == object_status::ok ? result.version : std::string());
+        return;
+    }
     becomeFenced(context, std::move(head), result.version);
 }
 
+/// Stores again what this owner knows and the object API has lost.
+template<ledger_policy Policy>
+void ledger_shard<Policy>::writeAgain(const event_context &context, const ledger_head &head, const std::string &version)
+{
+    context.effects.push_back(log_record {log_event::ledgerRestored, "shard=" + std::to_string(m_shard)
+                                                                         + " epoch=" + std::to_string(m_epoch)
+                                                                         + " entries=" + std::to_string(m_records.size())});
+    commitFailed(context);
+    m_version = version;
+    m_segmentWrite.reset();
+    const auto isStored = [&head](const std::string &segment) {
+        return std::any_of(head.segments.begin(), head.segments.end(), [&](const segment_ref &each) { return each.name == segment; });
+    };
+    for (auto &[key, record] : m_records) {
+        if (!record.segment.empty() && !isStored(record.segment)) {
+            record.segment.clear();
+            m_unsealed.insert(key);
+        }
+    }
+    m_segments = head.segments;
+    m_keptSince = std::max(m_keptSince, head.keptSince);
+    m_segmentsChanged = true;
+    commitIfDue(context);
+}
+
 /// The write took effect.
 template<ledger_policy Policy>
 void ledger_shard<Policy>::commitStored(const event_context &context, const std::string &version)
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -154,6 +154,49 @@
     BOOST_TEST(simulation.executions(0) == 0U);
 }
 
+// Guards against a booking that runs again because the object API came back from a copy without its claim.
+BOOST_AUTO_TEST_CASE(ledger_objectsFromAnOlderCopy_ownerWritesAgainWhatTheyLack)
+{
+    simulation.request(0, 1, 0);
+    simulation.runUntilQuiet();
+    const auto copy = simulation.objects();
+    simulation.request(1, 1, 0);
+    simulation.runUntilQuiet();
+    BOOST_REQUIRE(simulation.executions(1) == 1U);
+    simulation.objects() = copy;
+    const auto later = simulation.request(2, 1, 0);
+    simulation.runUntilQuiet();
+    const auto repeated = simulation.request(2, 1, 0);
+    simulation.runUntilQuiet();
+    BOOST_TEST((simulation.call(later).succeeded || simulation.call(later).state == run_state::notRun));
+    BOOST_TEST(simulation.call(repeated).succeeded);
+    simulation.crash(0);
+    simulation.restart(0);
+    const auto again = simulation.request(1, 1, 0);
+    simulation.runUntilQuiet();
+    BOOST_TEST(simulation.call(again).succeeded);
+    BOOST_TEST(simulation.executions(1) == 1U);
+    BOOST_TEST(simulation.executions(2) == 1U);
+}
+
+// Guards against the same if the copy has no head at all.
+BOOST_AUTO_TEST_CASE(ledger_headMissingInAnOlderCopy_ownerWritesItAgain)
+{
+    simulation.request(0, 1, 0);
+    simulation.runUntilQuiet();
+    simulation.objects().clear();
+    simulation.request(1, 1, 0);
+    simulation.runUntilQuiet();
+    simulation.request(1, 1, 0);
+    simulation.runUntilQuiet();
+    simulation.crash(0);
+    simulation.restart(0);
+    const auto again = simulation.request(0, 1, 0);
+    simulation.runUntilQuiet();
+    BOOST_TEST(simulation.call(again).succeeded);
+    BOOST_TEST(simulation.executions(0) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ledger_platformOutage_refusesNotRunAtOnce)
 {
     simulation.request(0, 1, 0);
