Routers of an earlier version, which tell no eras, are still read and believed

What callers would see: while routers are replaced one by one, those of the two versions could not read each other's heartbeats and syncs, and the new ones did not take a configuration from old leaders. Cause: eras were put into the existing members of the messages. Change: eras and versions of contents come after what earlier versions read; a revision without an era is taken for one of the era that is known. Tests: snapshot_ofAnEarlierVersion_isReadWithoutEras, routerOfAnEarlierVersion_withoutEras_isBelieved. Not run: processes of both versions side by side.

--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -132,7 +132,8 @@
     /// @param keepsLost As keepsLost() of the other router.
     bool isBehind(store_revision asOf, std::uint64_t hash, bool keepsLost = false) const
     {
-        const bool mayLack = asOf > m_asOf || (keepsLost && asOf.era == m_asOf.era);
+        const store_revision theirs = withEra(asOf);
+        const bool mayLack = theirs > m_asOf || (keepsLost && theirs.era == m_asOf.era);
         return mayLack && (m_asOf == store_revision() || hash != contentHash());
     }
 
@@ -181,7 +182,7 @@
     void recordAnswer(time_point now, std::vector<effect> &effects);
     void startList(time_point now, std::vector<effect> &effects);
     void startWatch(time_point now, std::vector<effect> &effects);
-    /// Adds the known era to a revision of an answer that does not tell one.
+    /// Adds the known era to a revision that comes without one, from a store that does not tell or a router of an earlier version.
     store_revision withEra(store_revision revision) const;
     /// Repeats a call that brought nothing later, and the later the more often that happens.
     void paceNextCall(time_point now, bool hasProgress);
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -46,14 +46,11 @@
     return static_cast<Number>(value);
 }
 
-json toJson(const store_revision &revision)
+/// Element of an array that routers of an earlier version do not send.
+template<typename Value>
+Value newerElement(const json &array, std::size_t index, Value fallback)
 {
-    return json::array({revision.era, revision.number});
-}
-
-store_revision revisionFromJson(const json &revision)
-{
-    return {revision.at(0).get<std::uint64_t>(), revision.at(1).get<std::uint64_t>()};
+    return index < array.size() ? array.at(index).get<Value>() : fallback;
 }
 
 json promptsToJson(const std::vector<prompt_location> &prompts)
@@ -186,7 +183,7 @@
     }
     json digests = json::object();
     for (const kind_digest &digest : message.digests) {
-        digests[digest.kind] = {toJson(digest.asOf), digest.hash, digest.keepsLost};
+        digests[digest.kind] = {digest.asOf.number, digest.hash, digest.asOf.era, digest.keepsLost};
     }
     json document = {{"name", message.name},     {"address", message.address},    {"loadAddress", message.loadAddress},
                      {"domain", message.domain}, {"routers", std::move(routers)}, {"digests", std::move(digests)}};
@@ -213,7 +210,10 @@
                                    item.at(3).get<std::string>(), age});
     }
     for (const auto &[kind, digest] : document.at("digests").items()) {
-        message.digests.push_back({kind, revisionFromJson(digest.at(0)), digest.at(1).get<std::uint64_t>(), digest.at(2).get<bool>()});
+        message.digests.push_back({kind,
+                                   {newerElement<std::uint64_t>(digest, 2, 0), digest.at(0).get<std::uint64_t>()},
+                                   digest.at(1).get<std::uint64_t>(),
+                                   newerElement(digest, 3, false)});
     }
     message.wantsPrompts = document.value("wantsPrompts", false);
     if (const auto prompts = document.find("prompts"); prompts != document.end()) {
@@ -238,11 +238,17 @@
 {
     json objects = json::array();
     for (const stored_object &object : snapshot.state.objects) {
-        objects.push_back({object.name, toJson(object.revision), object.text, object.content.incarnation, object.content.number});
+        objects.push_back(
+            {object.name, object.revision.number, object.text, object.revision.era, object.content.incarnation, object.content.number});
     }
     const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(snapshot.state.missingGrace).count();
-    const json document = {{"kind", snapshot.kind},         {"since", toJson(snapshot.state.since)}, {"asOf", toJson(snapshot.state.asOf)},
-                           {"objects", std::move(objects)}, {"removed", snapshot.state.removed},     {"graceMs", grace}};
+    const json document = {{"kind", snapshot.kind},
+                           {"since", snapshot.state.since.number},
+                           {"asOf", snapshot.state.asOf.number},
+                           {"era", snapshot.state.asOf.era},
+                           {"objects", std::move(objects)},
+                           {"removed", snapshot.state.removed},
+                           {"graceMs", grace}};
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -251,15 +257,18 @@
     const json document = json::parse(text);
     kind_snapshot snapshot;
     snapshot.kind = document.at("kind").get<std::string>();
-    snapshot.state.since = revisionFromJson(document.at("since"));
-    snapshot.state.asOf = revisionFromJson(document.at("asOf"));
+    const auto era = document.value<std::uint64_t>("era", 0);
+    snapshot.state.asOf = {era, document.at("asOf").get<std::uint64_t>()};
+    // A difference never reaches into an earlier era.
+    const auto since = document.at("since").get<std::uint64_t>();
+    snapshot.state.since = since == 0 ? store_revision() : store_revision(era, since);
     snapshot.state.missingGrace = std::chrono::milliseconds(document.at("graceMs").get<std::int64_t>());
     for (const json &object : document.at("objects")) {
         snapshot.state.objects.push_back({object.at(0).get<std::string>(),
-                                          revisionFromJson(object.at(1)),
+                                          {newerElement<std::uint64_t>(object, 3, 0), object.at(1).get<std::uint64_t>()},
                                           object.at(2).get<std::string>(),
                                           false,
-                                          {object.at(3).get<std::uint64_t>(), object.at(4).get<std::uint64_t>()}});
+                                          {newerElement<std::uint64_t>(object, 4, 0), newerElement<std::uint64_t>(object, 5, 0)}});
     }
     snapshot.state.removed = document.at("removed").get<std::vector<std::string>>();
     return snapshot;
@@ -313,7 +322,7 @@
     }
     json digests = json::array();
     for (const kind_digest &digest : heartbeat.digests) {
-        digests.push_back({digest.kind, toJson(digest.asOf), digest.hash, digest.keepsLost});
+        digests.push_back({digest.kind, digest.asOf.number, digest.hash, digest.asOf.era, digest.keepsLost});
     }
     json leaving = json::array();
     for (const leaving_upstream &each : load.leaving) {
@@ -368,8 +377,10 @@
         load.leaving.push_back({each.at(0).get<std::uint64_t>(), each.at(1).get<std::uint64_t>()});
     }
     for (const json &digest : document.at(10)) {
-        heartbeat.digests.push_back(
-            {digest.at(0).get<std::string>(), revisionFromJson(digest.at(1)), digest.at(2).get<std::uint64_t>(), digest.at(3).get<bool>()});
+        heartbeat.digests.push_back({digest.at(0).get<std::string>(),
+                                     {newerElement<std::uint64_t>(digest, 3, 0), digest.at(1).get<std::uint64_t>()},
+                                     digest.at(2).get<std::uint64_t>(),
+                                     newerElement(digest, 4, false)});
     }
     const auto &recentRouters = document.at(11).get_ref<const std::string &>();
     for (std::string_view rest = recentRouters; !rest.empty();) {
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -227,7 +227,12 @@
 
 void object_follower::on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects)
 {
-    const object_snapshot &snapshot = input.snapshot;
+    object_snapshot snapshot = input.snapshot;
+    snapshot.asOf = withEra(snapshot.asOf);
+    snapshot.since = snapshot.since == store_revision() ? snapshot.since : withEra(snapshot.since);
+    for (stored_object &object : snapshot.objects) {
+        object.revision = withEra(object.revision);
+    }
     if (snapshot.asOf <= m_asOf && snapshot.asOf.era == m_asOf.era && snapshot.since == store_revision()) {
         mergeKept(now, snapshot.objects, effects);
     }
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -369,9 +369,21 @@
     BOOST_TEST(read.prompts.at(0).parts.at(1) == 7U);
 }
 
+// Guards against routers that cannot read each other while they are replaced one by one.
+BOOST_AUTO_TEST_CASE(snapshot_ofAnEarlierVersion_isReadWithoutEras)
+{
+    const kind_snapshot read
+        = decodeSnapshot(R"({"kind":"config","since":7,"asOf":9,"objects":[["main",8,"{}"]],"removed":[],"graceMs":0})");
+    BOOST_TEST((read.state.asOf == store_revision(9)));
+    BOOST_TEST((read.state.objects.at(0).revision == store_revision(8)));
+    const gossip_message message
+        = decodeGossipMessage(R"({"name":"a","address":"x","loadAddress":"y","domain":"d","routers":[],"digests":{"config":[9,77]}})");
+    BOOST_TEST((message.digests.at(0).asOf == store_revision(9)));
+}
+
 BOOST_AUTO_TEST_CASE(snapshot_roundTrip_keepsAllFields)
 {
-    const kind_snapshot sent {"config", {7, 9, {{"main", {2, 8}, std::string(5000, 'x'), false, {5, 6}}}, {"gone"}, 1500ms}};
+    const kind_snapshot sent {"config", {{2, 7}, {2, 9}, {{"main", {1, 8}, std::string(5000, 'x'), false, {5, 6}}}, {"gone"}, 1500ms}};
     const kind_snapshot read = decodeSnapshot(decompressMessage(compressMessage(encodeSnapshot(sent))));
     BOOST_TEST(read.kind == "config");
     BOOST_TEST(read.state.since.number == 7U);
--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -231,6 +231,16 @@
     BOOST_TEST(fresh.contentHash() == follower.contentHash());
 }
 
+// Guards against a router whose leaders are of an earlier version, which tells no eras, and that learns nothing from them.
+BOOST_AUTO_TEST_CASE(routerOfAnEarlierVersion_withoutEras_isBelieved)
+{
+    start();
+    BOOST_TEST(follower.isBehind(30, 1));
+    at(6s, follower_event::snapshot_received {{27, 30, {object("main", 29, "third")}, {}, 0ms}, "router"});
+    BOOST_TEST(textOf("main") == "third");
+    BOOST_TEST((follower.asOf() == store_revision(1, 30)));
+}
+
 // Guards against routers that learn from each other, again and again, what the store lost and nobody wrote again.
 BOOST_AUTO_TEST_CASE(lostObject_thatRoutersTellEachOther_isDroppedByAll)
 {
