--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -221,7 +221,8 @@
     attempt_failure failure = attempt_failure::lost;
 };
 
-/// The connection of a relayed stream ended before the stream was complete. The caller got only whole events.
+/// The connection of a relayed stream ended before the stream was complete. On a route that may be resumed the caller got only whole
+/// events, else perhaps a part of the last one.
 struct stream_broken {
     exchange_id exchange = 0;
     attempt_failure failure = attempt_failure::lost;
--- a/include/nutmegtally/prefix_map.h
+++ b/include/nutmegtally/prefix_map.h
@@ -22,6 +22,9 @@
 
 std::uint64_t totalTokens(const prompt_parts &parts);
 
+/// Ids of the parts that other prompts share: all but the last, which belongs to its request alone.
+std::vector<std::uint64_t> sharedPartsOf(const prompt_parts &parts);
+
 /// Key by which requests with the same shared context go to the same upstreams: the id of the last part but one, which is the
 /// longest shared prefix, or of the only part.
 /// @return 0 if there are no parts.
--- a/include/nutmegtally/prompt_quarantine.h
+++ b/include/nutmegtally/prompt_quarantine.h
@@ -146,7 +146,6 @@
 
     using part_records = std::unordered_map<std::uint64_t, part_record>;
 
-    static std::vector<std::uint64_t> sharedParts(const prompt_parts &prompt);
     std::optional<time_point> survivalOf(std::uint64_t part) const;
     /// @return True if that is news to other routers.
     bool addCrash(std::uint64_t part, std::uint32_t depth, crash_id id, const crash_record &crash);
--- a/include/nutmegtally/request_limits.h
+++ b/include/nutmegtally/request_limits.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -24,6 +25,9 @@
     bool operator==(const limited_upstream &) const = default;
 };
 
+/// @param instance Name of the upstream's instance.
+limited_upstream limitedUpstreamOf(std::string_view instance, std::uint64_t incarnation);
+
 /// What an upstream last stated, as routers tell it each other.
 struct limit_statement {
     limited_upstream upstream;
--- a/src/prefix_map.cpp
+++ b/src/prefix_map.cpp
@@ -16,6 +16,15 @@
     return sum;
 }
 
+std::vector<std::uint64_t> sharedPartsOf(const prompt_parts &parts)
+{
+    std::vector<std::uint64_t> shared;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        shared.push_back(parts[i].id);
+    }
+    return shared;
+}
+
 std::uint64_t affinityKeyOf(const prompt_parts &parts)
 {
     if (parts.empty()) {
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -39,15 +39,6 @@
     return static_cast<crash_id>(hashText(instance, incarnation) >> 32);
 }
 
-std::vector<std::uint64_t> prompt_quarantine::sharedParts(const prompt_parts &prompt)
-{
-    std::vector<std::uint64_t> parts;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        parts.push_back(prompt[i].id);
-    }
-    return parts;
-}
-
 std::optional<time_point> prompt_quarantine::survivalOf(std::uint64_t part) const
 {
     for (const auto *generation : {&m_survivals, &m_olderSurvivals}) {
@@ -60,7 +51,7 @@
 
 bool prompt_quarantine::isProven(const prompt_parts &prompt) const
 {
-    const std::vector<std::uint64_t> parts = sharedParts(prompt);
+    const std::vector<std::uint64_t> parts = sharedPartsOf(prompt);
     return std::all_of(parts.begin(), parts.end(), [this](std::uint64_t part) { return survivalOf(part).has_value(); });
 }
 
@@ -107,7 +98,7 @@
 {
     bool isNews = false;
     for (const crash_suspect &suspect : suspects) {
-        const std::vector<std::uint64_t> parts = sharedParts(suspect.prompt);
+        const std::vector<std::uint64_t> parts = sharedPartsOf(suspect.prompt);
         for (std::size_t depth = 0; depth < parts.size(); ++depth) {
             isNews = addCrash(parts[depth], static_cast<std::uint32_t>(depth), id, {now, suspect.sentAt}) || isNews;
         }
@@ -118,7 +109,7 @@
 void prompt_quarantine::recordSurvival(const prompt_parts &prompt, time_point now)
 {
     bool isNews = false;
-    for (const std::uint64_t part : sharedParts(prompt)) {
+    for (const std::uint64_t part : sharedPartsOf(prompt)) {
         isNews = addSurvival(part, now) || isNews;
     }
     noteNews(isNews, now);
@@ -265,7 +256,7 @@
     if (m_records.empty()) {
         return gravest;
     }
-    for (const std::uint64_t part : sharedParts(prompt)) {
+    for (const std::uint64_t part : sharedPartsOf(prompt)) {
         const auto found = m_records.find(part);
         if (found == m_records.end()) {
             continue;
--- a/src/request_limits.cpp
+++ b/src/request_limits.cpp
@@ -34,6 +34,11 @@
 
 } // namespace
 
+limited_upstream limitedUpstreamOf(std::string_view instance, std::uint64_t incarnation)
+{
+    return {static_cast<std::uint32_t>(hashText(instance) >> 32), static_cast<std::uint32_t>(incarnation)};
+}
+
 void request_limits::setRouters(std::string self, std::vector<std::string> live)
 {
     m_self = std::move(self);
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -689,13 +689,7 @@
     if (parts.empty()) {
         return;
     }
-    // The last part belongs to this request alone, so it is not indexed.
-    std::vector<std::uint64_t> shared;
-    shared.reserve(parts.size() - 1);
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        shared.push_back(parts[i].id);
-    }
-    std::vector<std::uint64_t> toAnnounce = m_prefixes.recordUse(shared, number, now);
+    std::vector<std::uint64_t> toAnnounce = m_prefixes.recordUse(sharedPartsOf(parts), number, now);
     if (!toAnnounce.empty() && m_mechanisms.has(mechanism::promptAnnouncements)) {
         append(m_outgoingPrompts, {state->hash, std::move(toAnnounce)});
     }
