request_limits: buckets outside the class, where clang reads them too; one fixture for the tests of followers

clang 14 refuses an optional of a nested type whose members have initialisers; lint failed on it, the build with g++ did not. The tests of object_follower shared their event loop by copying.

--- a/include/nutmegtally/request_limits.h
+++ b/include/nutmegtally/request_limits.h
@@ -64,6 +64,28 @@
     bool operator==(const permit_answer &) const = default;
 };
 
+namespace detail
+{
+
+/// Use of an upstream's permits by one client account.
+struct account_use {
+    double grants = 0; // decays with limits::permitShareHalfLife
+    time_point grantsAt; // last update of grants
+    time_point deniedAt;
+};
+
+/// Permits that this router issues for an upstream: a token bucket.
+struct permit_bucket {
+    double tokens = 0; // an issuer that has just started does not know what the one before it gave out
+    time_point refilledAt;
+    time_point nextTurnAt; // turn of the next router that is denied
+    time_point nextYieldingTurnAt; // the same for claims that yield to others
+    std::map<int, time_point> deniedAt; // last denial by priority
+    std::map<std::uint32_t, account_use> accounts; // at most limits::maxPermitAccounts
+};
+
+} // namespace detail
+
 class request_limits
 {
 public:
@@ -139,23 +161,6 @@
     std::vector<limit_statement> takeChanges();
 
 private:
-    /// Use of an upstream's permits by one client account.
-    struct account_use {
-        double grants = 0; // decays with limits::permitShareHalfLife
-        time_point grantsAt; // last update of grants
-        time_point deniedAt;
-    };
-
-    /// Permits that this router issues for an upstream: a token bucket.
-    struct permit_bucket {
-        double tokens = 0; // an issuer that has just started does not know what the one before it gave out
-        time_point refilledAt;
-        time_point nextTurnAt; // turn of the next router that is denied
-        time_point nextYieldingTurnAt; // the same for claims that yield to others
-        std::map<int, time_point> deniedAt; // last denial by priority
-        std::map<std::uint32_t, account_use> accounts; // at most limits::maxPermitAccounts
-    };
-
     struct record {
         std::uint32_t incarnation = 0;
         std::optional<double> perSecond;
@@ -163,7 +168,7 @@
         time_point heldBackUntil; // no issuer is within reach
         std::map<permit_claim, time_point> availableAt; // at most limits::maxPermitClaims
         bool isNews = false;
-        std::optional<permit_bucket> bucket; // once this router was asked
+        std::optional<detail::permit_bucket> bucket; // once this router was asked
     };
 
     using records = std::map<std::uint32_t, record>;
@@ -175,9 +180,9 @@
     std::pair<const std::string *, const std::string *> issuersOf(std::uint32_t key) const;
     /// Requests a second that this router may grant for an upstream with a limit.
     double issueRate(std::uint32_t key, double perSecond) const;
-    static bool isOutranked(const permit_bucket &bucket, int priority, time_point now);
-    static bool isOverShare(permit_bucket &bucket, std::uint32_t account, time_point now);
-    static void recordUse(permit_bucket &bucket, const permit_claim &claim, bool isGranted, time_point now);
+    static bool isOutranked(const detail::permit_bucket &bucket, int priority, time_point now);
+    static bool isOverShare(detail::permit_bucket &bucket, std::uint32_t account, time_point now);
+    static void recordUse(detail::permit_bucket &bucket, const permit_claim &claim, bool isGranted, time_point now);
 
     std::string m_self;
     std::vector<std::string> m_routers; // live ones, with this one
--- a/src/request_limits.cpp
+++ b/src/request_limits.cpp
@@ -230,13 +230,13 @@
     return std::max(perSecond, limits::minPermitsPerSecond) * (isFirst ? 1.0 : limits::standbyPermitShare);
 }
 
-bool request_limits::isOutranked(const permit_bucket &bucket, int priority, time_point now)
+bool request_limits::isOutranked(const detail::permit_bucket &bucket, int priority, time_point now)
 {
     return std::any_of(bucket.deniedAt.begin(), bucket.deniedAt.lower_bound(priority),
                        [now](const auto &denied) { return now - denied.second < limits::permitMemory; });
 }
 
-bool request_limits::isOverShare(permit_bucket &bucket, std::uint32_t account, time_point now)
+bool request_limits::isOverShare(detail::permit_bucket &bucket, std::uint32_t account, time_point now)
 {
     double total = 0;
     bool othersWait = false;
@@ -250,13 +250,13 @@
     return othersWait && own != bucket.accounts.end() && own->second.grants > limits::maxAccountPermitShare * total;
 }
 
-void request_limits::recordUse(permit_bucket &bucket, const permit_claim &claim, bool isGranted, time_point now)
+void request_limits::recordUse(detail::permit_bucket &bucket, const permit_claim &claim, bool isGranted, time_point now)
 {
     if (bucket.accounts.size() >= limits::maxPermitAccounts && !bucket.accounts.contains(claim.account)) {
         bucket.accounts.erase(std::min_element(bucket.accounts.begin(), bucket.accounts.end(),
                                                [](const auto &a, const auto &b) { return a.second.grantsAt < b.second.grantsAt; }));
     }
-    account_use &use = bucket.accounts[claim.account];
+    detail::account_use &use = bucket.accounts[claim.account];
     use.grantsAt = now;
     if (isGranted) {
         use.grants += 1;
@@ -290,7 +290,7 @@
         known.bucket.emplace();
         known.bucket->refilledAt = now;
     }
-    permit_bucket &bucket = *known.bucket;
+    detail::permit_bucket &bucket = *known.bucket;
     bucket.tokens = std::min(capacity, bucket.tokens + rate * secondsOf(now - bucket.refilledAt));
     bucket.refilledAt = now;
     // One permit is left for more urgent requests, and for other accounts, that were just denied.
--- a/tests/test_object_follower.cpp
+++ b/tests/test_object_follower.cpp
@@ -1,4 +1,6 @@
 // List and watch of the platform's objects through outages, expired history and snapshots from other routers.
+#include "tests/follower_fixture.h"
+
 #include <nutmegtally/ids.h>
 #include <nutmegtally/object_follower.h>
 #include <nutmegtally/router_rank.h>
@@ -13,23 +15,10 @@
 using namespace nutmegtally;
 using namespace std::chrono_literals;
 
-struct follower_fixture {
-    template<typename Event>
-    void at(duration when, const Event &event)
-    {
-        effects.clear();
-        follower.apply(time_point(when), event, effects);
-    }
-
-    template<typename Effect>
-    const Effect *effect() const
+struct follower_fixture : test::follower_fixture_base {
+    follower_fixture()
     {
-        for (const object_follower::effect &each : effects) {
-            if (const auto *found = std::get_if<Effect>(&each)) {
-                return found;
-            }
-        }
-        return nullptr;
+        follower = freshFollower();
     }
 
     static stored_object object(const std::string &name, store_revision revision)
@@ -91,8 +80,6 @@
     }
 
     duration lastFailure {0};
-    object_follower follower = freshFollower();
-    std::vector<object_follower::effect> effects;
 };
 
 } // namespace
--- a/tests/test_store_restore.cpp
+++ b/tests/test_store_restore.cpp
@@ -1,6 +1,7 @@
 // An object API that comes back from an older copy: its revisions go back and are given out again, and what was acknowledged since
 // is lost until it is written again.
 #include "src/limits.h"
+#include "tests/follower_fixture.h"
 
 #include <nutmegtally/object_follower.h>
 
@@ -20,7 +21,7 @@
 {
 
 /// A follower that knows an object of the first era.
-struct restored_follower_fixture {
+struct restored_follower_fixture : test::follower_fixture_base {
     static stored_object object(const std::string &name, std::uint64_t revision, const std::string &text, std::uint64_t write = 0)
     {
         return {name, revision, text, false, {1, write}};
@@ -56,24 +57,6 @@
         return {ofEra(std::move(objects), era), {era, asOf}};
     }
 
-    template<typename Event>
-    void at(duration when, const Event &event)
-    {
-        effects.clear();
-        follower.apply(time_point(when), event, effects);
-    }
-
-    template<typename Effect>
-    const Effect *effect() const
-    {
-        for (const object_follower::effect &each : effects) {
-            if (const auto *found = std::get_if<Effect>(&each)) {
-                return found;
-            }
-        }
-        return nullptr;
-    }
-
     bool calls() const
     {
         return effect<follower_effect::read_page>() != nullptr || effect<follower_effect::watch_changes>() != nullptr;
@@ -104,9 +87,6 @@
         }
         return count;
     }
-
-    object_follower follower {follower_options()};
-    std::vector<object_follower::effect> effects;
 };
 
 } // namespace
