--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""A router is killed and lists the servers again; a server begins to leave while the list is read page by page. Does the router learn of
-it?"""
+"""One entry under `servers` comes from another writer and cannot be read. Do the routers serve again after all of them were killed?"""
 
-import asyncio
+import os
 import pathlib
 import sys
 import threading
@@ -11,130 +10,82 @@
 sys.path.insert(0, str(HERE.parent / "lib"))
 from standins import BOUNDS, TROUBLE, Deployment, Upstream, call, client_headers, configuration, route, run  # noqa: E402
 
-DESKS_PER_ZONE, ENGINES = 10, 540
-PER_SECOND = 2.0  # requests at each router
-LEAVING = 3  # servers that leave together
-ROUNDS, STAYS_S, DOWN_S = 5, 8.0, 0.5
+CLIENTS = 6
+PAUSE_S = 0.15  # of a client between two requests
+ENTRY_AT_S, KILL_AT_S, DOWN_S, AFTER_S = 3.0, 6.0, 1.0, 8.0
 
+# What a writer leaves that cuts a text in the middle of a character outside the basic plane. The store answers with valid JSON
+# grammar: "v1\ud83d". VARIANT tries other unreadable or mistyped fields; "text" is the one that the claim is about.
+FOREIGN = {"text": {"version": "v1\ud83d"}, "number": {"capacity": 10**24}, "type": {"capacity": "six"}}
+VARIANT = os.environ.get("VARIANT", "text")
 
-def start_engines(deployment) -> None:
-    """Idle engines: they list what they have cached, which is nothing, and run nothing as no route leads to them."""
-    ports, ready = [], threading.Event()
 
-    async def serve_one(reader, writer):
-        try:
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                body = b'{"epoch":1,"next":1,"held":[]}'
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-                await writer.drain()
-        except (asyncio.IncompleteReadError, OSError):
-            writer.close()
-
-    async def listen():
-        servers = [await asyncio.start_server(serve_one, "127.0.0.1", 0) for _ in range(ENGINES)]
-        ports.extend(server.sockets[0].getsockname()[1] for server in servers)
-        ready.set()
-        await asyncio.Event().wait()
-
-    threading.Thread(target=lambda: asyncio.run(listen()), daemon=True).start()
-    ready.wait(30)
-    for number, port in enumerate(ports):
-        deployment.store.put("servers", f"i-engine{number:03}", {
-            "service": "tally-llm", "address": f"127.0.0.1:{port}", "zone": deployment.ZONES[number % 3], "version": "v1", "capacity": 64,
-            "state": "ready", "warmup_ms": 0, "sequence": 1, "born": int(time.time() * 1000)})
+def foreign_entry():
+    entry = {"service": "dispatch-app", "address": "127.0.0.1:9", "zone": "north-pl", "version": "v1", "capacity": 6, "state": "ready",
+             "warmup_ms": 0, "sequence": 1}
+    return {**entry, **FOREIGN[VARIANT]}
 
 
 def main() -> int:
-    deployment = Deployment(HERE, configuration([route("crew-booking", "non_idempotent", "dispatch-app", timeout_ms=3000,
-                                                       latency_goal_ms=300)]))
-    record, store = deployment.record, deployment.store
-    start_engines(deployment)
-    desks = []
-
-    def add_desk(zone):
-        desks.append(Upstream(store, record, f"i-desk{len(desks):02}", "dispatch-app", zone, capacity=6))
-
-    for number in range(3 * DESKS_PER_ZONE):
-        add_desk(deployment.ZONES[number % 3])
-    sent_to, lost, stop = {}, [], threading.Event()
-
-    def client(router, number):
+    deployment = Deployment(HERE, configuration([route("crew-booking", "non_idempotent", "dispatch-app", timeout_ms=3000, latency_goal_ms=300),
+                                                 route("line-history", "idempotent", "dispatch-app", timeout_ms=3000, latency_goal_ms=300,
+                                                       max_attempts=2)]))
+    record = deployment.record
+    for i, zone in enumerate(deployment.ZONES):
+        Upstream(deployment.store, record, f"i-desk{i}", "dispatch-app", zone, capacity=6)
+    results, lock, stop = [], threading.Lock(), threading.Event()
+
+    def client(number):
         count = 0
-        while not stop.wait(1 / PER_SECOND):
+        while not stop.wait(PAUSE_S):
             count += 1
             request = f"c{number}{count:04x}"
-            if not router.is_ready():
-                continue  # the platform's balancer takes another one
-            sent_to[request] = (router, record.now(), started[router])
+            router = deployment.routers[(number + count) % len(deployment.routers)]
+            path = "/crew-booking/2f" if count % 2 else "/line-history/2f"
+            sent = time.monotonic()
             try:
-                answer = call(router.port, "POST", "/crew-booking/2f", client_headers(request, 3000), timeout=3)
-                status = answer.status if answer.complete else "no answer"
+                status = call(router.port, "POST" if count % 2 else "GET", path, client_headers(request, 3000), timeout=3).status
             except OSError as fault:
                 status = f"no answer ({type(fault).__name__})"
-            record(f"client: {request} at {router.name}: {status}")
-            if status not in (200, 503):
-                lost.append(request)
-
-    started = {}
-    leavings = []  # (desk, time of the acknowledgement)
-    leaving = []  # desks of the current round that have not begun to leave
-
-    def leave():
-        while leaving:
-            desk = leaving.pop()
-            leavings.append((desk, desk.drain()))
-            record(f"store: acknowledges that {desk.name} is draining")
-
-    def before_page(kind, after):
-        if TROUBLE and kind == "servers" and after:
-            leave()
+            record(f"client: {request} {path} at {router.name}: {status}")
+            with lock:
+                results.append((sent, status))
 
     try:
         deployment.start_routers()
-        started = {router: record.now() for router in deployment.routers}
-        for number, router in enumerate(deployment.routers):
-            threading.Thread(target=client, args=(router, number), daemon=True).start()
-        time.sleep(4)
-        store.before_page = before_page
-        for number in range(ROUNDS):
-            router = deployment.routers[number % 3]
-            chosen = [desk for desk in desks if desk.entry["zone"] == router.zone and desk.state == "ready"][:LEAVING]
-            leaving.extend(chosen)
-            if TROUBLE:
-                record(f"platform: kills {router.name}")
-                router.kill()
-                time.sleep(DOWN_S)
-                started[router] = record.now()
-                router.start(bootstrap=False)
-                record(f"platform: {router.name} is started again")
-            else:
-                leave()
-            time.sleep(STAYS_S)
-            if leaving:
-                record("the router did not read a second page")
-                print("the router did not read a second page")
-                return 2
-            for desk in chosen:
-                record(f"{desk.name}: exits")
-                desk.crash()
-                store.delete("servers", desk.name)
-                add_desk(router.zone)
-            time.sleep(1)
+        for number in range(CLIENTS):
+            threading.Thread(target=client, args=(number,), daemon=True).start()
+        time.sleep(ENTRY_AT_S)
+        if TROUBLE:
+            record("another writer: puts servers/x-other with an entry that cannot be read")
+            deployment.store.put("servers", "x-other", foreign_entry())
+        time.sleep(KILL_AT_S - ENTRY_AT_S)
+        killed = time.monotonic()
+        record("platform: kills all routers")
+        for router in deployment.routers:
+            router.kill()
+        time.sleep(DOWN_S)
+        for router in deployment.routers:
+            router.start(bootstrap=False)
+        back = time.monotonic()
+        record("platform: all routers are started again")
+        time.sleep(BOUNDS["recovery_s"] + AFTER_S)
         stop.set()
-        broken = 0
-        for desk, at in leavings:
-            for when, request, _ in desk.runs:
-                router, sent, begin = sent_to[request]
-                is_in_touch = sent - begin > BOUNDS["contact_ms"] / 1000
-                if when > at + BOUNDS["drain_ms"] / 1000 and is_in_touch:
-                    broken += 1
-                    record(f"DRAIN: {request} reached {desk.name} {when - at:.3f} s after the acknowledgement, from {router.name}, "
-                           f"started {sent - begin:.3f} s before")
-        verdict = f"{broken} requests reached servers later than drain_ms after the acknowledgement; {len(sent_to)} sent"
+        time.sleep(0.5)
+
+        def share(begin, end):
+            of = [status for sent, status in results if begin <= sent < end]
+            return sum(status == 200 for status in of) / max(1, len(of)), len(of)
+
+        before, count_before = share(0, killed - 0.5)
+        after, count_after = share(back + BOUNDS["recovery_s"], time.monotonic())
+        verdict = (f"served before the final fault: {before:.0%} of {count_before}; later than recovery_s after it: {after:.0%} of "
+                   f"{count_after}")
         record(verdict)
         print(verdict)
-        return 1 if broken else 0
+        if before < 0.25 or count_after < 20:
+            return 2
+        return 1 if after < 0.25 else 0
     finally:
         deployment.close()
 
