--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -172,10 +172,13 @@
         else:
             status, answer = self.page(path[0], query.get("after", ""))
         time.sleep(self.ANSWER_S)
-        data = json.dumps(answer).encode()
+        data = self.encode(answer)
         sock.sendall(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(data)) + data)
         return True
 
+    def encode(self, answer) -> bytes:
+        return json.dumps(answer).encode()
+
     def page(self, kind, after):
         if self.before_page:
             self.before_page(kind, after)
@@ -329,13 +332,14 @@
         self.boot = deployment.folder / f"{name}.settings"
         self.log = deployment.folder / f"{name}.log"
         self.process = None
+        self.store_address = deployment.store.address
 
     def start(self, bootstrap: bool) -> None:
         at = "127.0.0.1:%d"
         fields = {"node_name": self.name, "zone": self.zone, "ip": "127.0.0.1", "port_range": [self.metrics_port, self.load_port],
                   "bind": {"frontend": at % self.port, "ready": at % self.ready_port, "control": at % self.control_port},
                   "seeds": [at % r.control_port for r in self.deployment.routers[:3]], "bootstrap": bootstrap,
-                  "provider": {"address": self.deployment.store.address}, "bounds": BOUNDS, "limits": {"max_fds": 4100}}
+                  "provider": {"address": self.store_address}, "bounds": BOUNDS, "limits": {"max_fds": 4100}}
         role = self.deployment.role
         self.boot.write_text(render((ROOT / role["template"]).read_text(), fields))
         environment = {n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ}
@@ -408,10 +412,13 @@
         self.store = Store(self.record)
         self.store.put("config", "main", configuration)
         self.routers = []
+        self.paths = []  # what the routers reach the store through, if it is not the store's own address
         signal.signal(signal.SIGTERM, self.interrupted)
 
     def start_routers(self, count=3) -> None:
         self.routers = [Router(self, f"edge-{self.ZONES[i % 3]}-{i + 1}", self.ZONES[i % 3]) for i in range(count)]
+        for router, path in zip(self.routers, self.paths):
+            router.store_address = path.address
         for router in self.routers:
             router.start(bootstrap=True)
         if not self.wait_ready(15):
