Serving: an answer whose connection broke during the write of its request is not complete

Cause: the kernel reports a reset to one operation of a socket only. While a request is being written, the write came first and dropped the error; the read then saw the end of the stream, and an answer without length and chunks is complete at an orderly end.

Ruled out: bytes lost by the router, a wrong length of its own, an error that the read drops (with the request written whole the same reset gave 502 before).

Change: upstream_connection keeps the error of the write, and an end of stream counts as orderly only if no other operation has reported anything else. "Broken pipe" does not count: the kernel gives it when the upstream ended its side before the connection broke, so that the whole answer was received; a test holds that such an answer is still relayed.

--- a/programs/serving/upstream_connection.cpp
+++ b/programs/serving/upstream_connection.cpp
@@ -59,6 +59,7 @@
 void upstream_connection::writeRequest()
 {
     m_requestWritten = false;
+    m_writeFault.clear();
     m_headReceived = false;
     m_answerMatches = false;
     m_foreignAnswerSeen = false;
@@ -69,8 +70,9 @@
                                  if (generation != self->m_generation || !self->m_busy) {
                                      return;
                                  }
-                                 // After a failed write the upstream's answer may still arrive. The read operation reports the failure.
+                                 // After a failed write the upstream's answer may still be in the receive buffer: it is read to its end.
                                  self->m_requestWritten = !fault;
+                                 self->m_writeFault = fault;
                              });
 }
 
@@ -98,16 +100,25 @@
                 }
                 return;
             }
+            const boost::system::error_code cause = self->causeOfEnd(fault);
             // A close-delimited answer is complete only after an orderly close: a reset may have truncated it.
-            if (fault == boost::asio::error::eof && self->m_parser && self->m_answerMatches && self->m_parser->feedEof()) {
+            if (cause == boost::asio::error::eof && self->m_parser && self->m_answerMatches && self->m_parser->feedEof()) {
                 self->answerDone();
                 return;
             }
-            const bool isEndedByPeer = fault == boost::asio::error::eof || fault == boost::asio::error::connection_reset;
+            const bool isEndedByPeer = cause == boost::asio::error::eof || cause == boost::asio::error::connection_reset;
             self->fail(isEndedByPeer ? attempt_failure::lost : attempt_failure::silent);
         });
 }
 
+boost::system::error_code upstream_connection::causeOfEnd(const boost::system::error_code &readFault) const
+{
+    // The kernel reports a reset or timeout once, to the next operation of either direction. If that was the write, the read sees an
+    // end of stream. A broken pipe is no such report: the upstream had already ended its side, so that all it sent was received.
+    const bool isReportedByWrite = m_writeFault && m_writeFault != boost::asio::error::broken_pipe;
+    return readFault == boost::asio::error::eof && isReportedByWrite ? m_writeFault : readFault;
+}
+
 void upstream_connection::received(std::size_t bytes)
 {
     if (!m_busy) {
--- a/programs/serving/upstream_connection.h
+++ b/programs/serving/upstream_connection.h
@@ -88,6 +88,9 @@
     void writeRequest();
     void read();
     void received(std::size_t bytes);
+    /// @param readFault Why the read operation failed.
+    /// @return How the connection ended: eof only if the upstream closed its side in an orderly way.
+    boost::system::error_code causeOfEnd(const boost::system::error_code &readFault) const;
     void parse();
     void answerDone();
     void fail(attempt_failure failure);
@@ -110,6 +113,7 @@
     bool m_open = false;
     bool m_busy = false; // a request is in progress
     bool m_requestWritten = false; // the whole request was written to the socket
+    boost::system::error_code m_writeFault; // why the request could not be written
     bool m_reading = false;
     bool m_paused = false;
     bool m_isHeadRequest = false;
--- a/tests/serving_fixture.h
+++ b/tests/serving_fixture.h
@@ -28,7 +28,7 @@
 struct scripted_answer {
     std::string bytes; // "{id}" is replaced by the request's id
     bool closes = false; // closes the connection after the bytes
-    bool resets = false; // resets the connection after the bytes
+    bool resets = false; // resets the connection after the bytes; with closes, after an orderly end of its own side
     std::string unsolicited {}; // sent after the answer, without a request
     bool crashes = false; // resets all connections after the bytes and accepts no more
 };
@@ -49,6 +49,7 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
+    bool readsBodies = true; // false: reads no further than the head of a request, and answers when its receive buffer is full
     unsigned connections = 0;
     unsigned closedConnections = 0; // number of connections closed by the router
     unsigned unsolicitedAnswers = 0; // number sent
@@ -59,10 +60,12 @@
     struct peer {
         explicit peer(tcp::socket accepted)
             : socket(std::move(accepted))
+            , timer(socket.get_executor())
         {
         }
 
         tcp::socket socket;
+        boost::asio::steady_timer timer;
         std::array<char, 4096> chunk {};
         std::string input;
         std::string output;
@@ -104,6 +107,7 @@
                                          if (at != std::string::npos) {
                                              length = std::stoul(each->input.substr(at + 16));
                                          }
+                                         length = readsBodies ? length : 0;
                                          if (each->input.size() < head + 4 + length) {
                                              read(each);
                                              return;
@@ -111,10 +115,30 @@
                                          const std::string request = each->input.substr(0, head + 4 + length);
                                          each->input.erase(0, request.size());
                                          requests.push_back(request);
-                                         answer(each, m_respond(request), request);
+                                         if (readsBodies) {
+                                             answer(each, m_respond(request), request);
+                                         } else {
+                                             answerOnceFull(each, request, 0);
+                                         }
                                      });
     }
 
+    /// Answers once the receive buffer no longer grows: the router waits to write the rest of the request. It sees the bytes of the
+    /// answer and the end of the connection at the same time.
+    void answerOnceFull(const std::shared_ptr<peer> &each, const std::string &request, std::size_t bytesBefore)
+    {
+        const std::size_t bytes = each->socket.available();
+        if (bytes > 0 && bytes == bytesBefore) {
+            each->scripted = m_respond(request);
+            boost::system::error_code fault;
+            boost::asio::write(each->socket, boost::asio::buffer(withId(each->scripted.bytes, request)), fault);
+            answered(each, fault);
+            return;
+        }
+        each->timer.expires_after(20ms);
+        each->timer.async_wait([this, each, request, bytes](const boost::system::error_code &) { answerOnceFull(each, request, bytes); });
+    }
+
     void answer(const std::shared_ptr<peer> &each, scripted_answer scripted, const std::string &request)
     {
         each->output = withId(std::move(scripted.bytes), request);
@@ -134,6 +158,9 @@
             crash();
             return;
         }
+        if (each->scripted.resets && each->scripted.closes) {
+            each->socket.shutdown(tcp::socket::shutdown_send);
+        }
         if (each->scripted.resets) {
             each->socket.set_option(boost::asio::socket_base::linger(true, 0));
         }
--- a/tests/test_daemon_answer_ends.cpp
+++ b/tests/test_daemon_answer_ends.cpp
@@ -136,6 +136,37 @@
     return answer.bytes >= head && !answer.resets && (!isStream || isAtEvent);
 }
 
+/// The first attempt is answered, and its connection ends, while the router is still writing the request. A second attempt gets the
+/// rest of the events.
+struct early_answer_fixture : serving_fixture {
+    static constexpr std::size_t requestBytes = 16 << 20; // more than the socket buffers of both sides hold
+
+    early_answer_fixture()
+    {
+        rules->limits.maxBodyBytes = requestBytes;
+    }
+
+    seen_answer fetchedEarly(const std::string &route, scripted_answer first)
+    {
+        bool isFirst = true;
+        const auto respond = [&](const std::string &request) {
+            return std::exchange(isFirst, false) ? first
+                   : has(request, "Last-Event-Id: 1")
+                       ? scripted_answer {signedHead + framed(eventsWithLf[1], answer_framing::length)}
+                       : scripted_answer {signedHead + framed(joined(eventsWithLf), answer_framing::length)};
+        };
+        for (int i = 0; i < 2; ++i) {
+            upstream(respond).readsBodies = false;
+        }
+        tcp::socket client = connect();
+        const std::string bytes = "POST /" + route + "/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n"
+                                  + "Content-Length: " + std::to_string(requestBytes) + "\r\n\r\n" + std::string(requestBytes, 'x');
+        boost::asio::async_write(client, boost::asio::buffer(bytes), [](const boost::system::error_code &, std::size_t) {});
+        const std::string text = readUntil(client, "[never]");
+        return parsed(std::string_view(text).substr(0, text.rfind("[closed]")));
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(answer_ends)
@@ -180,6 +211,42 @@
     });
 }
 
+// Guards against a reset that the write of the request reports, after which the read sees the end of the stream: half of an answer
+// without length was relayed as a whole one.
+BOOST_FIXTURE_TEST_CASE(bookingAnswer_resetWhileTheRequestIsWritten_isNoSuccess, early_answer_fixture)
+{
+    const seen_answer seen = fetchedEarly("booking", {signedHead + "\r\nhalf", false, true});
+    BOOST_TEST(seen.isComplete);
+    BOOST_TEST(seen.status == 502);
+}
+
+BOOST_FIXTURE_TEST_CASE(streamThatMayNotBeRepeated_resetWhileTheRequestIsWritten_doesNotLookComplete, early_answer_fixture)
+{
+    const seen_answer seen = fetchedEarly("brief", {signedHead + "\r\n" + eventsWithLf[0], false, true});
+    BOOST_TEST(!(seen.isComplete && seen.status == 200));
+}
+
+BOOST_FIXTURE_TEST_CASE(streamThatMayBeResumed_resetWhileTheRequestIsWritten_isResumed, early_answer_fixture)
+{
+    BOOST_TEST(fetchedEarly("reply", {signedHead + "\r\n" + eventsWithLf[0], false, true}).isWholeSuccess(joined(eventsWithLf)));
+}
+
+BOOST_FIXTURE_TEST_CASE(readAnswer_resetWhileTheRequestIsWritten_isFetchedFromAnotherUpstream, early_answer_fixture)
+{
+    BOOST_TEST(fetchedEarly("read", {signedHead + "\r\nhalf", false, true}).isWholeSuccess(joined(eventsWithLf)));
+}
+
+// Guards against taking an answer for truncated because the connection broke after its end.
+BOOST_FIXTURE_TEST_CASE(bookingAnswer_resetAfterItsOrderlyEnd_isRelayed, early_answer_fixture)
+{
+    BOOST_TEST(fetchedEarly("booking", {signedHead + "\r\nwhole", true, true}).isWholeSuccess("whole"));
+}
+
+BOOST_FIXTURE_TEST_CASE(bookingAnswer_resetAfterAllBytesOfItsLength_isRelayed, early_answer_fixture)
+{
+    BOOST_TEST(fetchedEarly("booking", {signedHead + framed("whole", answer_framing::length), false, true}).isWholeSuccess("whole"));
+}
+
 // Guards against an upstream whose error handling completes the frame of a stream that it could not finish.
 BOOST_AUTO_TEST_CASE(completeFrame_thatEndsWithinAnEvent_isABrokenStream)
 {
