Serving: the end of one attempt is no longer taken for the end of the answer

Cause: a request and its attempts shared one set of fields. Reporting a refusal starts the next attempt from within the report; what followed in answerDone() saw "is being relayed" of the first attempt, ended the answer and dropped the exchange under the third attempt.

The new cases of test_daemon_answer_ends without the change: a refusal by 503, 429, 421 or 408 loses the rest of the stream, and a resumed attempt that answers with another type than events is joined to the stream (5 checks).

Ruled out: the reducer, which asked for the third attempt and never for the end; the framing of the refusal.

Change: the state of an attempt is a value of its own that the next attempt replaces. Callbacks name their attempt and find none once it is over. An answer goes to the caller only if the reducer decided so for this attempt; with any other decision the attempt ends, also when the reducer waits for a permit. A resumed attempt without events fails and the stream goes on elsewhere.

--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -130,25 +130,38 @@
     }
 
 private:
-    /// One request, with its connections to the caller and to the upstream.
-    struct exchange_state {
-        client_connection::pointer client;
-        http_head head;
-        std::string body;
-        std::string requestId;
-        upstream_connection::pointer upstream; // connection of the running attempt
-        std::string upstreamKey; // key of the connection in the pool
+    /// One attempt at an upstream: all that must not outlast it. The next attempt replaces it as a whole.
+    struct attempt_state {
+        std::uint64_t number = 0; // as in attempt_ref
+        upstream_connection::pointer connection; // null once the answer is complete
+        std::string connectionKey; // in the pool
         bool isStream = false;
         bool isResumable = false;
+        bool isResume = false;
         http_head answerHead;
         answer_summary answer; // decoded from answerHead
         std::string answerBody; // received but not forwarded yet
         bool carriesEvents = false; // the answer is a stream of events
-        bool isProgressReported = false; // answer_progressed was posted for the running attempt
-        bool isAnswerReported = false; // answer_received was posted for the running attempt
-        bool isRelaying = false; // the head of the answer was sent to the caller
-        bool isChunked = false; // the answer is sent to the caller with chunked transfer coding
-        event_stream eventStream; // used if the answer carries events
+        bool isAnswerReported = false; // answer_received was posted
+        bool isProgressReported = false; // answer_progressed was posted
+        bool isRelayed = false; // the reducer decided that the caller gets this answer
+    };
+
+    /// One request, with its connection to the caller and its running attempt.
+    struct exchange_state {
+        client_connection::pointer client;
+        http_head head;
+        std::string body;
+        std::string requestId;
+        std::optional<attempt_state> attempt; // nothing while the request waits
+        event_stream eventStream; // of all attempts; used if the answer carries events
+        bool isAnswerBegun = false; // the caller has the head of an answer with chunked transfer coding
+    };
+
+    /// Identifies an attempt in callbacks. Numbers are not reused, so that a callback of an earlier attempt finds none.
+    struct attempt_ref {
+        exchange_id exchange = 0;
+        std::uint64_t attempt = 0;
     };
 
     std::shared_ptr<const client_connection::handlers> clientHandlers();
@@ -167,24 +180,28 @@
     void carryOut(const exchange_report &report);
     void carryOut(const log_record &record);
 
-    bool answerHead(exchange_id id, const http_head &head);
-    void answerBody(exchange_id id, std::string &&piece);
-    void answerDone(exchange_id id, bool reusable);
-    void attemptFailed(exchange_id id, attempt_failure failure);
+    bool answerHead(attempt_ref ref, const http_head &head);
+    void answerBody(attempt_ref ref, std::string &&piece);
+    void answerDone(attempt_ref ref, bool reusable);
+    void attemptFailed(attempt_ref ref, attempt_failure failure);
     /// @param isStreamExpected Used for an answer that does not state its type.
     static bool isEventStream(const http_head &head, bool isStreamExpected);
-    /// Posts answer_received. The reducer may end the exchange: find it again afterwards.
-    void reportAnswer(exchange_id id, exchange_state &state);
+    /// Posts answer_received. Unless the reducer decides to relay the answer, the attempt is over, and another one may be running.
+    /// @return The exchange if its answer is relayed; otherwise nullptr.
+    exchange_state *reportAnswer(attempt_ref ref);
     /// Posts answer_progressed once enough of the stream was received.
-    void reportProgress(exchange_id id, exchange_state &state);
+    void reportProgress(attempt_ref ref, exchange_state &state);
     /// Sends the buffered body to the caller, and pauses reading from the upstream if the caller is slow (backpressure).
     void forwardBody(exchange_state &state);
-    /// Ends the attempt's use of its connection, which returns to the pool if reusable.
-    void releaseUpstream(exchange_state &state, bool reusable);
-    static void closeUpstream(exchange_state &state);
+    /// Fails an attempt whose answer cannot be used.
+    void rejectAnswer(attempt_ref ref, attempt_failure failure);
+    /// Ends the running attempt, if there is one, and closes its connection.
+    static void endAttempt(exchange_state &state);
     /// How the answer of the running attempt ended. Call before the connection is released.
     static answer_end endOf(const exchange_state &state);
     exchange_state *find(exchange_id id);
+    /// @return The exchange whose running attempt this is; nullptr if the attempt is over.
+    exchange_state *find(attempt_ref ref);
     void tick();
 
     boost::asio::io_context &m_context;
@@ -200,6 +217,7 @@
     boost::asio::steady_timer m_tickTimer;
     time_point m_lastSweepAt;
     exchange_id m_lastExchange = 0;
+    std::uint64_t m_lastAttempt = 0;
     std::uint64_t m_connectionsOpened = 0;
     bool m_isStopping = false;
     event_queue<entry_core> m_events;
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -32,8 +32,8 @@
     handlers->drained = [this](const client_connection::pointer &client) {
         const auto found = m_exchangeByClient.find(client.get());
         exchange_state *state = found == m_exchangeByClient.end() ? nullptr : find(found->second);
-        if (state != nullptr && state->upstream) {
-            state->upstream->setReadingPaused(false);
+        if (state != nullptr && state->attempt && state->attempt->connection) {
+            state->attempt->connection->setReadingPaused(false);
         }
     };
     handlers->isStopping = [this] { return m_isStopping; };
@@ -107,7 +107,7 @@
     m_exchangeByClient.erase(found);
     post(entry_event::caller_left {id});
     if (exchange_state *state = find(id)) {
-        closeUpstream(*state);
+        endAttempt(*state);
     }
     m_exchanges.erase(id);
 }
@@ -119,6 +119,13 @@
     return found == m_exchanges.end() ? nullptr : &found->second;
 }
 
+template<request_codec Codec>
+typename serving_core<Codec>::exchange_state *serving_core<Codec>::find(attempt_ref ref)
+{
+    exchange_state *state = find(ref.exchange);
+    return state != nullptr && state->attempt && state->attempt->number == ref.attempt ? state : nullptr;
+}
+
 template<request_codec Codec>
 void serving_core<Codec>::carryOut(const entry_effect::start_attempt &attempt)
 {
@@ -126,69 +133,75 @@
     if (state == nullptr) {
         return;
     }
-    closeUpstream(*state);
-    state->isStream = attempt.isStream;
-    state->isResumable = attempt.isResumable;
-    state->isAnswerReported = false;
-    state->isProgressReported = false;
-    state->answerBody.clear();
+    endAttempt(*state);
+    const attempt_ref ref {attempt.exchange, ++m_lastAttempt};
+    attempt_state &running = state->attempt.emplace();
+    running.number = ref.attempt;
+    running.connectionKey = attempt.instance + '@' + attempt.address;
+    running.isStream = attempt.isStream;
+    running.isResumable = attempt.isResumable;
+    running.isResume = attempt.isResume;
     state->eventStream.startAttempt();
-    state->upstreamKey = attempt.instance + '@' + attempt.address;
     const std::optional<std::uint64_t> resumeAfter = attempt.isResume ? state->eventStream.lastEventId() : std::nullopt;
     std::string request = m_codec.encodeAttempt(state->head, state->body.size(), attempt, resumeAfter);
     request += state->body;
     const bool isHeadRequest = state->head.method == "HEAD";
 
-    const exchange_id id = attempt.exchange;
     upstream_connection::handlers handlers;
-    handlers.head = [this, id](const http_head &head) { return answerHead(id, head); };
-    handlers.body = [this, id](std::string &&piece) { answerBody(id, std::move(piece)); };
-    handlers.done = [this, id](bool reusable) { answerDone(id, reusable); };
-    handlers.failed = [this, id](attempt_failure failure) { attemptFailed(id, failure); };
-
-    state->upstream = m_pool.acquire(state->upstreamKey, m_observer.now());
-    if (state->upstream) {
-        state->upstream->send(std::move(request), isHeadRequest, std::move(handlers));
+    handlers.head = [this, ref](const http_head &head) { return answerHead(ref, head); };
+    handlers.body = [this, ref](std::string &&piece) { answerBody(ref, std::move(piece)); };
+    handlers.done = [this, ref](bool reusable) { answerDone(ref, reusable); };
+    handlers.failed = [this, ref](attempt_failure failure) { attemptFailed(ref, failure); };
+
+    running.connection = m_pool.acquire(running.connectionKey, m_observer.now());
+    if (running.connection) {
+        running.connection->send(std::move(request), isHeadRequest, std::move(handlers));
         return;
     }
     const auto peer = parseEndpoint(attempt.address);
     if (!peer) {
-        post(entry_event::attempt_failed {id, attempt_failure::unreachable});
+        endAttempt(*state);
+        post(entry_event::attempt_failed {attempt.exchange, attempt_failure::unreachable});
         return;
     }
     ++m_connectionsOpened;
-    state->upstream = std::make_shared<upstream_connection>(m_context);
-    state->upstream->open(*peer, std::min(attempt.timeLeft, serving_limits::connectTimeout), std::move(request), isHeadRequest,
-                          std::move(handlers));
+    running.connection = std::make_shared<upstream_connection>(m_context);
+    running.connection->open(*peer, std::min(attempt.timeLeft, serving_limits::connectTimeout), std::move(request), isHeadRequest,
+                             std::move(handlers));
 }
 
 template<request_codec Codec>
-bool serving_core<Codec>::answerHead(exchange_id id, const http_head &head)
+bool serving_core<Codec>::answerHead(attempt_ref ref, const http_head &head)
 {
-    exchange_state *state = find(id);
+    exchange_state *state = find(ref);
     if (state == nullptr) {
         return false;
     }
+    attempt_state &attempt = *state->attempt;
     const decoded_answer answer = m_codec.decodeAnswer(head);
     // An answer without a request id may belong to an earlier request, unless it is the first on its connection. Even then it is
     // accepted only if it states that the request did not run.
-    const bool isFirstAnswer = state->upstream->answerCount() == 0;
+    const bool isFirstAnswer = attempt.connection->answerCount() == 0;
     const bool matchesRequest = answer.requestId ? *answer.requestId == state->requestId : isFirstAnswer && answer.summary.notRun;
     if (!matchesRequest) {
         log_line line;
         line.with("request", state->requestId)
-            .with("upstream", state->upstreamKey)
+            .with("upstream", attempt.connectionKey)
             .with("answer_to", answer.requestId.value_or(""))
             .with("status", head.status);
         carryOut(log_record {log_event::answerForeign, line.take()});
         return false;
     }
-    state->answerHead = head;
-    state->answer = answer.summary;
+    attempt.answerHead = head;
+    attempt.answer = answer.summary;
     const bool isSuccess = head.status >= 200 && head.status < 300;
-    state->carriesEvents = isSuccess && isEventStream(head, state->isStream);
-    if (state->isStream && isSuccess) {
-        reportAnswer(id, *state);
+    attempt.carriesEvents = isSuccess && isEventStream(head, attempt.isStream);
+    if (attempt.isResume && isSuccess && !attempt.carriesEvents) {
+        rejectAnswer(ref, attempt_failure::damaged); // its body cannot continue the stream
+        return false;
+    }
+    if (attempt.isStream && isSuccess) {
+        reportAnswer(ref);
     }
     return true;
 }
@@ -202,58 +215,65 @@
 }
 
 template<request_codec Codec>
-void serving_core<Codec>::reportAnswer(exchange_id id, exchange_state &state)
+typename serving_core<Codec>::exchange_state *serving_core<Codec>::reportAnswer(attempt_ref ref)
 {
-    state.isAnswerReported = true;
-    post(entry_event::answer_received {id, state.answer});
+    exchange_state *state = find(ref);
+    state->attempt->isAnswerReported = true;
+    post(entry_event::answer_received {ref.exchange, state->attempt->answer});
+    state = find(ref);
+    if (state != nullptr && !state->attempt->isRelayed) {
+        endAttempt(*state);
+        return nullptr;
+    }
+    return state;
 }
 
 template<request_codec Codec>
-void serving_core<Codec>::answerBody(exchange_id id, std::string &&piece)
+void serving_core<Codec>::answerBody(attempt_ref ref, std::string &&piece)
 {
-    exchange_state *state = find(id);
+    exchange_state *state = find(ref);
     if (state == nullptr) {
         return;
     }
-    if (state->carriesEvents && state->isStream && state->isResumable) {
-        state->answerBody += state->eventStream.feed(piece);
+    attempt_state &attempt = *state->attempt;
+    if (attempt.carriesEvents && attempt.isStream && attempt.isResumable) {
+        attempt.answerBody += state->eventStream.feed(piece);
         if (state->eventStream.isEventTooLong()) {
-            state->upstream->close();
-            attemptFailed(id, attempt_failure::damaged);
+            rejectAnswer(ref, attempt_failure::damaged);
             return;
         }
     } else {
-        if (state->carriesEvents) {
+        if (attempt.carriesEvents) {
             state->eventStream.observe(piece);
         }
-        state->answerBody += piece;
+        attempt.answerBody += piece;
     }
-    if (!state->isAnswerReported && state->answerBody.size() > serving_limits::maxBufferedAnswerBytes) {
-        reportAnswer(id, *state);
-        state = find(id);
+    if (!attempt.isAnswerReported && attempt.answerBody.size() > serving_limits::maxBufferedAnswerBytes) {
+        state = reportAnswer(ref);
     }
-    if (state != nullptr && state->isRelaying && state->isAnswerReported) {
+    if (state != nullptr && state->attempt->isRelayed) {
         forwardBody(*state);
-        reportProgress(id, *state);
+        reportProgress(ref, *state);
     }
 }
 
 template<request_codec Codec>
-void serving_core<Codec>::reportProgress(exchange_id id, exchange_state &state)
+void serving_core<Codec>::reportProgress(attempt_ref ref, exchange_state &state)
 {
-    if (!state.isProgressReported && state.eventStream.events() >= serving_limits::eventsPastStart) {
-        state.isProgressReported = true;
-        post(entry_event::answer_progressed {id});
+    if (!state.attempt->isProgressReported && state.eventStream.events() >= serving_limits::eventsPastStart) {
+        state.attempt->isProgressReported = true;
+        post(entry_event::answer_progressed {ref.exchange});
     }
 }
 
 template<request_codec Codec>
 void serving_core<Codec>::forwardBody(exchange_state &state)
 {
-    state.client->continueAnswer(state.answerBody);
-    state.answerBody.clear();
-    if (state.client->pendingOutputBytes() > serving_limits::outputHighWatermarkBytes && state.upstream) {
-        state.upstream->setReadingPaused(true);
+    attempt_state &attempt = *state.attempt;
+    state.client->continueAnswer(attempt.answerBody);
+    attempt.answerBody.clear();
+    if (state.client->pendingOutputBytes() > serving_limits::outputHighWatermarkBytes && attempt.connection) {
+        attempt.connection->setReadingPaused(true);
     }
 }
 
@@ -261,85 +281,89 @@
 void serving_core<Codec>::carryOut(const entry_effect::relay_answer &relayed)
 {
     exchange_state *state = find(relayed.exchange);
-    if (state == nullptr || state->isRelaying) {
-        return; // the head of a resumed stream was already sent
+    if (state == nullptr || !state->attempt) {
+        return;
+    }
+    attempt_state &attempt = *state->attempt;
+    attempt.isRelayed = true;
+    if (state->isAnswerBegun) {
+        return; // a resumed stream continues the answer of its first upstream
     }
-    state->isRelaying = true;
     std::vector<header_field> fields;
-    for (const header_field &field : state->answerHead.fields) {
-        if (!isHopByHop(state->answerHead, field.name) && !equalsIgnoreCase(field.name, "content-length")) {
+    for (const header_field &field : attempt.answerHead.fields) {
+        if (!isHopByHop(attempt.answerHead, field.name) && !equalsIgnoreCase(field.name, "content-length")) {
             fields.push_back(field);
         }
     }
     // A complete answer is sent with a Content-Length, one whose upstream is still sending with chunked transfer coding.
-    state->isChunked = state->upstream && state->upstream->isBusy();
-    if (state->isChunked) {
-        state->client->beginAnswer(state->answerHead.status, state->answerHead.reason, std::move(fields));
+    state->isAnswerBegun = attempt.connection && attempt.connection->isBusy();
+    if (state->isAnswerBegun) {
+        state->client->beginAnswer(attempt.answerHead.status, attempt.answerHead.reason, std::move(fields));
         forwardBody(*state);
     } else {
-        state->client->answer(state->answerHead.status, state->answerHead.reason, std::move(fields), state->answerBody);
+        state->client->answer(attempt.answerHead.status, attempt.answerHead.reason, std::move(fields), attempt.answerBody);
     }
 }
 
 template<request_codec Codec>
-void serving_core<Codec>::answerDone(exchange_id id, bool reusable)
+void serving_core<Codec>::answerDone(attempt_ref ref, bool reusable)
 {
-    exchange_state *state = find(id);
+    exchange_state *state = find(ref);
     if (state == nullptr) {
         return;
     }
     const answer_end end = endOf(*state);
-    if (state->carriesEvents && !state->eventStream.isWhole(end.framing)) {
-        state->upstream->close();
-        attemptFailed(id, attempt_failure::lost);
+    if (state->attempt->carriesEvents && !state->eventStream.isWhole(end.framing)) {
+        rejectAnswer(ref, attempt_failure::lost);
         return;
     }
-    releaseUpstream(*state, reusable);
-    if (!state->isAnswerReported) {
-        reportAnswer(id, *state);
-        state = find(id);
+    if (reusable) {
+        m_pool.release(state->attempt->connectionKey, state->attempt->connection, m_observer.now());
+    }
+    state->attempt->connection.reset();
+    if (!state->attempt->isAnswerReported) {
+        state = reportAnswer(ref);
     }
-    if (state == nullptr || !state->isRelaying) {
-        return; // the reducer retried or refused the request instead
+    if (state == nullptr) {
+        return;
     }
-    if (state->isChunked) {
+    if (state->isAnswerBegun) {
         forwardBody(*state);
         state->client->endAnswer();
     }
     m_exchangeByClient.erase(state->client.get());
-    m_exchanges.erase(id);
-    post(entry_event::answer_finished {id, end});
+    m_exchanges.erase(ref.exchange);
+    post(entry_event::answer_finished {ref.exchange, end});
 }
 
 template<request_codec Codec>
 answer_end serving_core<Codec>::endOf(const exchange_state &state)
 {
-    return {state.upstream->framing(), state.eventStream.unfinishedBytes()};
+    return {state.attempt->connection->framing(), state.eventStream.unfinishedBytes()};
 }
 
 template<request_codec Codec>
-void serving_core<Codec>::releaseUpstream(exchange_state &state, bool reusable)
+void serving_core<Codec>::rejectAnswer(attempt_ref ref, attempt_failure failure)
 {
-    if (reusable) {
-        m_pool.release(state.upstreamKey, state.upstream, m_observer.now());
-    }
-    state.upstream.reset();
+    find(ref)->attempt->connection->close();
+    attemptFailed(ref, failure);
 }
 
 template<request_codec Codec>
-void serving_core<Codec>::attemptFailed(exchange_id id, attempt_failure failure)
+void serving_core<Codec>::attemptFailed(attempt_ref ref, attempt_failure failure)
 {
-    exchange_state *state = find(id);
+    exchange_state *state = find(ref);
     if (state == nullptr) {
         return;
     }
     const answer_end end = endOf(*state);
-    state->upstream.reset();
-    if (state->isRelaying && state->isAnswerReported) {
-        post(entry_event::stream_broken {id, failure, end});
+    const bool wasRelayed = state->attempt->isRelayed;
+    state->attempt.reset();
+    if (wasRelayed) {
+        post(entry_event::stream_broken {ref.exchange, failure, end});
         return;
     }
-    post(entry_event::attempt_failed {id, failure});
+    post(entry_event::attempt_failed {ref.exchange, failure});
 }
 
 template<request_codec Codec>
@@ -347,17 +371,17 @@
 {
     exchange_state *state = find(stopped.exchange);
     if (state != nullptr) {
-        closeUpstream(*state);
+        endAttempt(*state);
     }
 }
 
 template<request_codec Codec>
-void serving_core<Codec>::closeUpstream(exchange_state &state)
+void serving_core<Codec>::endAttempt(exchange_state &state)
 {
-    if (state.upstream) {
-        state.upstream->close();
-        state.upstream.reset();
+    if (state.attempt && state.attempt->connection) {
+        state.attempt->connection->close();
     }
+    state.attempt.reset();
 }
 
 template<request_codec Codec>
@@ -368,7 +392,7 @@
         return;
     }
     const local_answer answer = m_codec.encodeRefusal(refused, state->requestId);
-    closeUpstream(*state);
+    endAttempt(*state);
     const client_connection::pointer client = state->client;
     m_exchangeByClient.erase(client.get());
     m_exchanges.erase(refused.exchange);
@@ -382,7 +406,7 @@
     if (state == nullptr) {
         return;
     }
-    closeUpstream(*state);
+    endAttempt(*state);
     const client_connection::pointer client = state->client;
     m_exchangeByClient.erase(client.get());
     m_exchanges.erase(answer.exchange);
--- a/tests/serving_fixture.h
+++ b/tests/serving_fixture.h
@@ -49,6 +49,12 @@
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
+    /// Further connections are refused.
+    void stopAccepting()
+    {
+        m_acceptor.close();
+    }
+
     bool readsBodies = true; // false: reads no further than the head of a request, and answers when its receive buffer is full
     unsigned connections = 0;
     unsigned closedConnections = 0; // number of connections closed by the router
@@ -350,13 +356,12 @@
     std::optional<time_point> stoppedAt; // time on the core's clock while a test has stopped it
     std::shared_ptr<traffic_rules> rules = std::make_shared<traffic_rules>();
     boost::asio::io_context context {1};
-    serving_core<platform::request_codec> serving {
-        context,
-        platform::request_codec(),
-        {"self", "domain", {}, false},
-        {[this](const log_record &record) { events.push_back(record.event); }, [](const exchange_report &) {},
-         [](const entry_effect::list_held_parts &) {},
-         [this] { return now(); }}};
+    serving_core<platform::request_codec> serving {context,
+                                                   platform::request_codec(),
+                                                   {"self", "domain", {}, false},
+                                                   {[this](const log_record &record) { events.push_back(record.event); },
+                                                    [](const exchange_report &) {}, [](const entry_effect::list_held_parts &) {},
+                                                    [this] { return now(); }}};
     listener callerListener {context, "127.0.0.1:0", [this](tcp::socket socket) { serving.accept(std::move(socket)); }};
     std::vector<std::unique_ptr<scripted_upstream>> upstreams;
     std::vector<log_event> events;
--- a/tests/test_daemon_answer_ends.cpp
+++ b/tests/test_daemon_answer_ends.cpp
@@ -150,16 +150,16 @@
     {
         bool isFirst = true;
         const auto respond = [&](const std::string &request) {
-            return std::exchange(isFirst, false) ? first
-                   : has(request, "Last-Event-Id: 1")
-                       ? scripted_answer {signedHead + framed(eventsWithLf[1], answer_framing::length)}
-                       : scripted_answer {signedHead + framed(joined(eventsWithLf), answer_framing::length)};
+            return std::exchange(isFirst, false)      ? first
+                   : has(request, "Last-Event-Id: 1") ? scripted_answer {signedHead + framed(eventsWithLf[1], answer_framing::length)}
+                                                      : scripted_answer {signedHead + framed(joined(eventsWithLf), answer_framing::length)};
         };
         for (int i = 0; i < 2; ++i) {
             upstream(respond).readsBodies = false;
         }
         tcp::socket client = connect();
-        const std::string bytes = "POST /" + route + "/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n"
+        const std::string bytes = "POST /" + route
+                                  + "/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n"
                                   + "Content-Length: " + std::to_string(requestBytes) + "\r\n\r\n" + std::string(requestBytes, 'x');
         boost::asio::async_write(client, boost::asio::buffer(bytes), [](const boost::system::error_code &, std::size_t) {});
         const std::string text = readUntil(client, "[never]");
@@ -167,6 +167,40 @@
     }
 };
 
+/// A stream breaks off after its first event. The second attempt ends at once, and a third one gets the rest.
+struct second_attempt_fixture : serving_fixture {
+    second_attempt_fixture()
+    {
+        addRoute("long", request_kind::streaming, 3).isResumable = true;
+        rules->index();
+    }
+
+    seen_answer fetchedWith(const scripted_answer &second, std::size_t upstreamCount = 3)
+    {
+        attempts = 0;
+        upstreams.clear();
+        for (std::size_t i = 0; i < upstreamCount; ++i) {
+            upstream([this, second](const std::string &request) {
+                ++attempts;
+                if (attempts == 1) {
+                    return scripted_answer {signedHead + "Transfer-Encoding: chunked\r\n\r\n" + formatChunk(eventsWithLf[0]), false, true};
+                }
+                resumedAfter = has(request, "Last-Event-Id: 1") ? 1 : 0;
+                return attempts == 2 ? second : scripted_answer {signedHead + framed(eventsWithLf[1], answer_framing::chunked)};
+            });
+        }
+        return fetched(*this, "long");
+    }
+
+    unsigned attempts = 0;
+    unsigned resumedAfter = 0; // event after which the last attempt was asked to continue
+};
+
+scripted_answer refusal(int status)
+{
+    return {"HTTP/1.1 " + std::to_string(status) + " No\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(answer_ends)
@@ -247,6 +281,83 @@
     BOOST_TEST(fetchedEarly("booking", {signedHead + framed("whole", answer_framing::length), false, true}).isWholeSuccess("whole"));
 }
 
+// Guards against a resumed stream that ends as complete when its second upstream refuses: the state of the first attempt, whose head
+// was relayed, was taken for that of the attempt that had just ended.
+BOOST_FIXTURE_TEST_CASE(resumedStream_refusedByTheSecondUpstream_continuesAtTheThird, second_attempt_fixture)
+{
+    for (const int status : {503, 429, 421, 408}) {
+        BOOST_TEST(fetchedWith(refusal(status)).isWholeSuccess(joined(eventsWithLf)), status);
+        BOOST_TEST(attempts == 3U, status);
+        BOOST_TEST(resumedAfter == 1U, status);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_refusedWithALongBody_continuesAtTheThird, second_attempt_fixture)
+{
+    scripted_answer second = refusal(503);
+    const std::string body(2 * serving_limits::maxBufferedAnswerBytes, 'x');
+    second.bytes.replace(second.bytes.find("Length: 0"), 9, "Length: " + std::to_string(body.size()));
+    second.bytes += body;
+    BOOST_TEST(fetchedWith(second).isWholeSuccess(joined(eventsWithLf)));
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_refusedByTheLastUpstream_doesNotLookComplete, second_attempt_fixture)
+{
+    BOOST_TEST(!fetchedWith(refusal(503), 2).isComplete);
+    BOOST_TEST(attempts == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_brokenBeforeItsHead_continuesAtTheThird, second_attempt_fixture)
+{
+    for (const bool resets : {false, true}) {
+        BOOST_TEST(fetchedWith({"", !resets, resets}).isWholeSuccess(joined(eventsWithLf)), resets);
+        BOOST_TEST(fetchedWith({signedHead, !resets, resets}).isWholeSuccess(joined(eventsWithLf)), resets);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_brokenWithinItsFirstEvent_continuesAtTheThird, second_attempt_fixture)
+{
+    const std::string begun = signedHead + "Transfer-Encoding: chunked\r\n\r\n" + formatChunk("id: 2\nda");
+    BOOST_TEST(fetchedWith({begun, false, true}).isWholeSuccess(joined(eventsWithLf)));
+    BOOST_TEST(resumedAfter == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_failedByTheSecondUpstream_doesNotLookComplete, second_attempt_fixture)
+{
+    const std::string failure = "HTTP/1.1 500 No\r\nX-Request-Id: {id}\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno";
+    const seen_answer seen = fetchedWith({failure});
+    BOOST_TEST((!seen.isComplete || seen.body == joined(eventsWithLf)));
+    BOOST_TEST(seen.body.find("no") == std::string::npos);
+}
+
+// Guards against joining a stream with the body of an answer that is no stream.
+BOOST_FIXTURE_TEST_CASE(resumedStream_answeredWithAnotherType_continuesAtTheThird, second_attempt_fixture)
+{
+    const std::string other = signedHead + "Content-Type: application/json\r\n" + framed("{}", answer_framing::length);
+    BOOST_TEST(fetchedWith({other}).isWholeSuccess(joined(eventsWithLf)));
+}
+
+BOOST_FIXTURE_TEST_CASE(resumedStream_secondUpstreamRefusesConnections_continuesAtTheThird, second_attempt_fixture)
+{
+    bool isFirst = true;
+    for (int i = 0; i < 3; ++i) {
+        upstream([&](const std::string &) {
+            if (!std::exchange(isFirst, false)) {
+                return scripted_answer {signedHead + framed(eventsWithLf[1], answer_framing::chunked)};
+            }
+            unsigned open = 0;
+            for (const std::unique_ptr<scripted_upstream> &each : upstreams) {
+                // Of the two others, one accepts no more connections.
+                if (each->requests.empty() && open++ == 0) {
+                    each->stopAccepting();
+                }
+            }
+            return scripted_answer {signedHead + "Transfer-Encoding: chunked\r\n\r\n" + formatChunk(eventsWithLf[0]), false, true};
+        });
+    }
+    BOOST_TEST(fetched(*this, "long").isWholeSuccess(joined(eventsWithLf)));
+}
+
 // Guards against an upstream whose error handling completes the frame of a stream that it could not finish.
 BOOST_AUTO_TEST_CASE(completeFrame_thatEndsWithinAnEvent_isABrokenStream)
 {
