Object follower: an answer is judged by the revision of the copy, also for absent objects

Only present objects were compared by revision, an absent one counted as new. Nothing compared a copy with another as a whole.

Change: isNews() is the one rule for changes and removals of watches and differences: a present object is known as of its last change, an absent one as of the copy. Complete states count as of their revision and remove nothing newer; a list counts as of its oldest page. Routers compare revision and hash of their copies in heartbeats and syncs; two that differ at the same revision list all again, at most once in 5 s (copy_differs in the log).

--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -65,6 +65,11 @@
     std::string from;
 };
 
+/// Another router's copy differs although it is of the same revision: one of the two is wrong.
+struct copy_differs {
+    std::string from;
+};
+
 /// Whether this router calls the API on behalf of others.
 struct role_changed {
     bool watchesApi = true; // false: it gets snapshots from routers that do
@@ -102,9 +107,9 @@
 class object_follower
 {
 public:
-    using event
-        = std::variant<follower_event::page_received, follower_event::changes_received, follower_event::history_expired,
-                       follower_event::call_failed, follower_event::snapshot_received, follower_event::role_changed, follower_event::tick>;
+    using event = std::variant<follower_event::page_received, follower_event::changes_received, follower_event::history_expired,
+                               follower_event::call_failed, follower_event::snapshot_received, follower_event::copy_differs,
+                               follower_event::role_changed, follower_event::tick>;
     using effect = std::variant<follower_effect::read_page, follower_effect::watch_changes, follower_effect::object_changed,
                                 follower_effect::object_removed, log_record>;
 
@@ -137,6 +142,14 @@
         return mayLack && (m_asOf == store_revision() || hash != contentHash());
     }
 
+    /// True if another router's set of objects, with content hash @p hash, should be equal to this one but is not.
+    /// @param asOf Revision of the other set.
+    /// @param keepsLost As keepsLost() of the other router.
+    bool differsFrom(store_revision asOf, std::uint64_t hash, bool keepsLost) const
+    {
+        return m_isComplete && withEra(asOf) == m_asOf && hash != contentHash() && !keepsLost && !this->keepsLost();
+    }
+
     /// True if objects are in force that the store lost when it was restored, and that nobody has written again.
     bool keepsLost() const
     {
@@ -176,10 +189,13 @@
     void on(time_point now, const follower_event::history_expired &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::copy_differs &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::role_changed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::tick &input, std::vector<effect> &effects);
 
     void recordAnswer(time_point now, std::vector<effect> &effects);
+    /// Lists if the copy is incomplete or in doubt, else watches.
+    void startCall(time_point now, std::vector<effect> &effects);
     void startList(time_point now, std::vector<effect> &effects);
     void startWatch(time_point now, std::vector<effect> &effects);
     /// Adds the known era to a revision that comes without one, from a store that does not tell or a router of an earlier version.
@@ -187,11 +203,18 @@
     /// Repeats a call that brought nothing later, and the later the more often that happens.
     void paceNextCall(time_point now, bool hasProgress);
     void enterEra(time_point now, store_revision asOf, std::vector<effect> &effects);
-    void replaceAll(time_point now, const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects);
+    /// False if a change or removal at this revision was superseded. An answer may be older than the copy: while a call was running,
+    /// another router's snapshot may have arrived. A present object is known as of its last change, an absent one as of m_asOf.
+    bool isNews(const std::string &name, store_revision revision) const;
+    /// Takes the complete state at a revision that is not below m_asOf.
+    void replaceAll(time_point now, const std::vector<stored_object> &objects, store_revision asOf, duration grace,
+                    std::vector<effect> &effects);
     void takeChange(time_point now, const stored_object &object, std::vector<effect> &effects);
     void applyChange(const stored_object &object, std::vector<effect> &effects);
     void applyRemoval(time_point now, const std::string &name, store_revision revision, duration grace, std::vector<effect> &effects);
     void recordRemoval(const std::string &name, store_revision revision);
+    /// Takes another router's changes since a revision that is not above m_asOf.
+    void applyDifference(time_point now, const object_snapshot &difference, duration grace, std::vector<effect> &effects);
     /// Takes what another router of the same era keeps in force.
     void mergeKept(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects);
     void endKeeping(time_point now, std::vector<effect> &effects);
@@ -202,6 +225,7 @@
     std::map<std::string, stored_object> m_objects;
     std::uint64_t m_contentHash = 0; // over names and revisions of m_objects; updated incrementally
     std::vector<stored_object> m_listed; // pages received of the running list
+    std::optional<store_revision> m_listedAsOf; // lowest revision of these pages: later changes may be missing in some of them
     store_revision m_asOf; // m_objects is the state at this revision or later; never decreases
     store_revision m_watchedSince; // of the running watch
     unsigned m_fruitless = 0; // answered calls in a row that brought nothing, and came at once
@@ -209,6 +233,8 @@
     phase m_phase = phase::idle;
     bool m_isComplete = false;
     bool m_needsList = true; // the API may not have the changes since m_asOf
+    bool m_isInDoubt = false; // another router's copy differs: to be listed again, also by a router that makes no calls
+    time_point m_nextDoubtAt; // until then, differences are ignored: the last one was followed by a list
     unsigned m_failures = 0; // calls that failed in a row
     bool m_watchesApi = true;
     bool m_usesShortWatches = true;
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -98,6 +98,8 @@
     std::vector<kind_digest> ownDigests() const;
     bool isApiReachable() const;
     void updateRole();
+    /// Reads the objects again if another router's copy should be equal to this router's but is not.
+    void compareCopies(const std::vector<kind_digest> &digests, const std::string &router);
     void handleHeartbeat(const router_heartbeat &heartbeat);
     void handlePermitMessage(const permit_message &message);
     /// @param bytes Size of the datagram in m_receiveBuffer. @throws std::exception with a reason if it is none of the routers'.
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -97,9 +97,21 @@
     return digests;
 }
 
+void entry_daemon::compareCopies(const std::vector<kind_digest> &digests, const std::string &router)
+{
+    for (std::size_t i = 0; i < objectKindCount; ++i) {
+        for (const kind_digest &digest : digests) {
+            if (digest.kind == objectKindNames[i] && m_followers[i].differsFrom(digest.asOf, digest.hash, digest.keepsLost)) {
+                apply(static_cast<object_kind>(i), follower_event::copy_differs {router});
+            }
+        }
+    }
+}
+
 void entry_daemon::handleHeartbeat(const router_heartbeat &heartbeat)
 {
     const time_point at = now();
+    compareCopies(heartbeat.digests, heartbeat.name);
     m_election.recordHeartbeat(heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, heartbeat.interval,
                                at);
     bool isNewer = false;
@@ -191,6 +203,7 @@
             }
         }
     }
+    compareCopies(message.digests, message.name);
     // Applied after the snapshots, because prompt locations at upstreams that are not listed yet are dropped.
     m_serving.post(entry_event::prompt_locations_received {message.prompts});
 }
--- a/src/limits.h
+++ b/src/limits.h
@@ -217,6 +217,7 @@
 inline constexpr std::size_t maxRemovals = 512; // of one kind; a router that missed more gets the whole state
 inline constexpr duration minHeldBackTime = 6s; // an entry of an upstream that is gone has expired again by then
 inline constexpr duration minOutage = 700ms; // of failed calls; a single broken connection is replaced sooner
+inline constexpr duration minDoubtInterval = 5s; // between lists because of another router's copy: that router may be the wrong one
 inline constexpr duration syncInterval = 1s; // between syncs with other routers
 inline constexpr duration steadySyncInterval = 4s; // after discoveryTime, when load updates carry digests of the state
 inline constexpr duration discoveryTime = 10s; // after a start, while routers find each other
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -32,11 +32,22 @@
     std::visit([&](const auto &each) { on(now, each, effects); }, input);
 }
 
+void object_follower::startCall(time_point now, std::vector<effect> &effects)
+{
+    if (m_needsList || m_isInDoubt) {
+        startList(now, effects);
+    } else {
+        startWatch(now, effects);
+    }
+}
+
 void object_follower::startList(time_point now, std::vector<effect> &effects)
 {
     m_callStartedAt = now;
     m_phase = phase::listing;
+    m_isInDoubt = false;
     m_listed.clear();
+    m_listedAsOf.reset();
     effects.emplace_back(follower_effect::read_page {});
 }
 
@@ -100,13 +111,15 @@
     if (m_phase != phase::listing) {
         return;
     }
-    const store_revision asOf = withEra(input.asOf);
-    const bool isOtherEra = !m_listed.empty() && asOf.era != m_listed.front().revision.era;
-    if (asOf.era < m_asOf.era || isOtherEra) {
+    const store_revision pageAsOf = withEra(input.asOf);
+    if (pageAsOf.era < m_asOf.era || (m_listedAsOf && pageAsOf.era != m_listedAsOf->era)) {
         on(now, follower_event::call_failed {"the answer is of an earlier era, or its pages are of two"}, effects);
         return;
     }
     recordAnswer(now, effects);
+    // A change between two pages is in none of them, so the watch has to begin at the first one.
+    const store_revision asOf = m_listedAsOf ? std::min(*m_listedAsOf, pageAsOf) : pageAsOf;
+    m_listedAsOf = asOf;
     for (const stored_object &object : input.objects) {
         m_listed.push_back(object);
         m_listed.back().revision.era = asOf.era;
@@ -129,15 +142,13 @@
         if (m_isComplete && asOf.era > m_asOf.era) {
             enterEra(now, asOf, effects);
         }
-        // Later pages may have newer objects than the first; the watch that follows repeats the changes made meanwhile.
-        m_asOf = asOf;
-        replaceAll(now, m_listed, missingGrace(now), effects);
+        replaceAll(now, m_listed, asOf, missingGrace(now), effects);
     }
     m_listed.clear();
     m_isComplete = true;
     m_phase = phase::idle;
     if (m_watchesApi && m_nextCallAt == now) {
-        startWatch(now, effects);
+        startCall(now, effects);
     }
 }
 
@@ -157,28 +168,35 @@
         return;
     }
     const bool wasKeeping = m_guard.isActive();
+    const store_revision newAsOf = std::max(m_asOf, asOf);
     for (stored_object object : input.objects) {
         object.revision.era = asOf.era;
         if (!object.isDeleted) {
-            takeChange(now, object, effects);
+            if (isNews(object.name, object.revision)) {
+                takeChange(now, object, effects);
+            }
             continue;
         }
         const auto known = m_objects.find(object.name);
+        const bool isKnownAtRemoval = known != m_objects.end() && known->second.revision == object.revision;
+        if (!isKnownAtRemoval && !isNews(object.name, object.revision)) {
+            continue;
+        }
         m_guard.settle(object.name);
         m_guard.recordRemoval(object.name, object.content, asOf.era, now);
-        if (known != m_objects.end() && known->second.revision <= object.revision) {
-            applyRemoval(now, object.name, object.revision, missingGrace(now), effects);
-        } else if (known == m_objects.end()) {
-            recordRemoval(object.name, object.revision); // other routers may have the object
+        if (known != m_objects.end()) {
+            applyRemoval(now, object.name, newAsOf, missingGrace(now), effects);
+        } else {
+            recordRemoval(object.name, newAsOf); // other routers may have the object
         }
     }
     logMended(wasKeeping, effects);
     m_nextCallAt = now + (input.objects.empty() ? duration(0) : m_options.watchDelay);
     paceNextCall(now, asOf > m_asOf || !input.objects.empty());
-    m_asOf = std::max(m_asOf, asOf);
+    m_asOf = newAsOf;
     m_phase = phase::idle;
     if (m_watchesApi && m_nextCallAt == now) {
-        startWatch(now, effects);
+        startCall(now, effects);
     }
 }
 
@@ -253,22 +271,32 @@
         enterEra(now, snapshot.asOf, effects);
     }
     const duration grace = std::max(snapshot.missingGrace, missingGrace(now));
-    m_asOf = snapshot.asOf;
     if (snapshot.since == store_revision()) {
-        replaceAll(now, snapshot.objects, grace, effects);
+        replaceAll(now, snapshot.objects, snapshot.asOf, grace, effects);
     } else {
-        const bool wasKeeping = m_guard.isActive();
-        for (const std::string &name : snapshot.removed) {
+        applyDifference(now, snapshot, grace, effects);
+    }
+    m_isComplete = true;
+    m_needsList = false;
+}
+
+void object_follower::applyDifference(time_point now, const object_snapshot &difference, duration grace, std::vector<effect> &effects)
+{
+    const bool wasKeeping = m_guard.isActive();
+    for (const std::string &name : difference.removed) {
+        const auto known = m_objects.find(name);
+        if (known == m_objects.end() || known->second.revision <= difference.asOf) {
             m_guard.settle(name);
-            applyRemoval(now, name, snapshot.asOf, grace, effects);
+            applyRemoval(now, name, difference.asOf, grace, effects);
         }
-        for (const stored_object &object : snapshot.objects) {
+    }
+    for (const stored_object &object : difference.objects) {
+        if (isNews(object.name, object.revision)) {
             takeChange(now, object, effects);
         }
-        logMended(wasKeeping, effects);
     }
-    m_isComplete = true;
-    m_needsList = false;
+    m_asOf = difference.asOf;
+    logMended(wasKeeping, effects);
 }
 
 void object_follower::mergeKept(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects)
@@ -315,6 +343,22 @@
     return snapshot;
 }
 
+void object_follower::on(time_point now, const follower_event::copy_differs &input, std::vector<effect> &effects)
+{
+    if (now < m_nextDoubtAt) {
+        return;
+    }
+    m_isInDoubt = true;
+    m_nextDoubtAt = now + limits::minDoubtInterval;
+    log_line line;
+    line.with("kind", m_options.kind)
+        .with("from", input.from)
+        .with("era", m_asOf.era)
+        .with("as_of", m_asOf.number)
+        .with("objects", m_objects.size());
+    effects.emplace_back(log_record {log_event::copyDiffers, line.take()});
+}
+
 void object_follower::on(time_point now, const follower_event::role_changed &input, std::vector<effect> &)
 {
     m_usesShortWatches = input.usesShortWatches;
@@ -336,18 +380,22 @@
     }
     endKeeping(now, effects);
     // Until it has all objects, every router lists them itself: the routers that could send them may have started with it.
-    if (m_phase != phase::idle || now < m_nextCallAt || (!m_watchesApi && m_isComplete)) {
-        return;
-    }
-    if (m_needsList) {
-        startList(now, effects);
-    } else {
-        startWatch(now, effects);
+    const bool makesCalls = m_watchesApi || !m_isComplete || m_isInDoubt;
+    if (m_phase == phase::idle && now >= m_nextCallAt && makesCalls) {
+        startCall(now, effects);
     }
 }
 
-void object_follower::replaceAll(time_point now, const std::vector<stored_object> &objects, duration grace, std::vector<effect> &effects)
+bool object_follower::isNews(const std::string &name, store_revision revision) const
 {
+    const auto known = m_objects.find(name);
+    return revision > (known == m_objects.end() ? m_asOf : known->second.revision);
+}
+
+void object_follower::replaceAll(time_point now, const std::vector<stored_object> &objects, store_revision asOf, duration grace,
+                                 std::vector<effect> &effects)
+{
+    m_asOf = asOf;
     const bool wasKeeping = m_guard.isActive();
     std::unordered_set<std::string> listed;
     for (const stored_object &object : objects) {
@@ -360,9 +408,10 @@
         }
     }
     for (const std::string &name : missing) {
-        if (m_objects.at(name).revision.era < m_asOf.era) {
+        const store_revision known = m_objects.at(name).revision;
+        if (known.era < m_asOf.era) {
             m_guard.keep(name, now);
-        } else {
+        } else if (known <= m_asOf) {
             applyRemoval(now, name, m_asOf, grace, effects);
         }
     }
