Upstreams: an announcement to leave is final for the incarnation

What callers would see: requests at an upstream that is about to exit.

Cause: "leaving" was a property of the entry as read last, and what an answer announced was forgotten with the entry. A write from before the announcement that is executed late, or an entry from an older copy, made the upstream eligible again.

Evidence: with the memory left out, 6 checks in 2 cases of test_entry_core fail.

Change: leaving_incarnations keeps them beyond the life of the entry; upsert() and markLeaving() use it. A new incarnation starts anew.

After: test_entry_core: no errors.

--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -2,6 +2,7 @@
 // the load that it reports in answers, the requests in flight from this and other routers, and its recent failures.
 #pragma once
 
+#include <nutmegtally/leaving_incarnations.h>
 #include <nutmegtally/load_update.h>
 #include <nutmegtally/mechanism.h>
 #include <nutmegtally/prefix_map.h>
@@ -165,9 +166,9 @@
     /// @param ownDomain Failure domain of this router; its upstreams are preferred if scores are nearly equal.
     explicit upstream_set(std::string ownDomain, mechanism_set mechanisms = {});
 
-    /// Adds or updates an upstream from the platform's list.
+    /// Adds or updates an upstream from the platform's list. One that announced that it leaves stays leaving until its next incarnation.
     /// @return True if anything but coldFor changed.
-    bool upsert(const upstream_record &record, time_point now);
+    bool upsert(upstream_record record, time_point now);
 
     /// Removes an upstream that is no longer listed.
     /// @param grace Keeps it usable for this long: its entry may have expired while the object API was unavailable.
@@ -267,6 +268,9 @@
     /// @return nullptr if the number is no longer listed.
     const upstream_entry *find(upstream_number number) const;
 
+    /// @return nullptr if the instance is not listed.
+    const upstream_entry *find(const std::string &instance) const;
+
     /// @return nullptr if no such incarnation is listed.
     const upstream_entry *find(limited_upstream upstream) const;
 
@@ -333,6 +337,7 @@
     std::unordered_map<std::string, std::vector<upstream_entry *>> m_byService; // into m_upstreams
     bool m_servicesChanged = false; // m_byService has to be built again
     std::unordered_map<upstream_number, std::string> m_instanceOf;
+    leaving_incarnations m_leaving; // also of upstreams that are no longer listed
     std::unordered_set<std::string> m_closedDomains;
     std::string m_self;
     std::vector<std::string> m_routers; // live ones, with this one
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -125,14 +125,15 @@
     if (!m_upstreams.upsert(input.record, now)) {
         return;
     }
+    const upstream_record &listed = m_upstreams.find(input.record.instance)->record;
     log_line line;
-    line.with("upstream", input.record.instance)
-        .with("service", input.record.service)
-        .with("address", input.record.address)
-        .with("domain", input.record.domain)
-        .with("leaving", input.record.isLeaving)
-        .with("cold_ms", input.record.coldFor);
-    effects.push_back(record(input.record.isLeaving ? log_event::upstreamLeaving : log_event::upstreamListed, line));
+    line.with("upstream", listed.instance)
+        .with("service", listed.service)
+        .with("address", listed.address)
+        .with("domain", listed.domain)
+        .with("leaving", listed.isLeaving)
+        .with("cold_ms", listed.coldFor);
+    effects.push_back(record(listed.isLeaving ? log_event::upstreamLeaving : log_event::upstreamListed, line));
     placeWaiting(now, effects);
 }
 
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -75,8 +75,12 @@
 {
 }
 
-bool upstream_set::upsert(const upstream_record &record, time_point now)
+bool upstream_set::upsert(upstream_record record, time_point now)
 {
+    if (record.isLeaving) {
+        m_leaving.insert(record.instance, record.incarnation);
+    }
+    record.isLeaving = record.isLeaving || m_leaving.contains(record.instance, record.incarnation);
     const auto known = m_upstreams.find(record.instance);
     const time_point coldUntil = now + record.coldFor;
     if (known != m_upstreams.end() && known->second.record.incarnation == record.incarnation
@@ -737,6 +741,7 @@
     }
     state->isLeavingAnnounced = true;
     state->leavingAnnouncedAt = now;
+    m_leaving.insert(state->record.instance, state->record.incarnation);
     return true;
 }
 
@@ -790,6 +795,12 @@
     return instance == m_instanceOf.end() ? nullptr : &m_upstreams.at(instance->second);
 }
 
+const upstream_entry *upstream_set::find(const std::string &instance) const
+{
+    const auto known = m_upstreams.find(instance);
+    return known == m_upstreams.end() ? nullptr : &known->second;
+}
+
 const upstream_entry *upstream_set::find(limited_upstream upstream) const
 {
     const upstream_number *number = numberOf(std::uint64_t(upstream.key) << 32);
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -506,6 +506,48 @@
     BOOST_TEST(sentTo() == leavingInstance); // idle, while the other one is busy
 }
 
+// Guards against requests at an upstream that leaves, after a write from before its announcement was executed late.
+BOOST_AUTO_TEST_CASE(leavingInItsEntry_olderEntryReadLater_getsNoRequestsUntilTheNextIncarnation)
+{
+    start(0, 2);
+    upstream_record entry = record("desk-0", "desk", 6);
+    entry.incarnation = 5;
+    entry.isLeaving = true;
+    apply(entry_event::upstream_listed {entry});
+    entry.isLeaving = false;
+    apply(entry_event::upstream_listed {entry});
+    for (int i = 0; i < 5; ++i) {
+        request("read");
+        BOOST_TEST(sentTo() == "desk-1");
+    }
+    entry.incarnation = 6;
+    apply(entry_event::upstream_listed {entry});
+    request("read");
+    BOOST_TEST(sentTo() == "desk-0"); // idle, while the other one is busy
+}
+
+// Guards against the same after its entry was removed: what the upstream had announced was forgotten with the entry.
+BOOST_AUTO_TEST_CASE(leavingInAnAnswer_entryRemovedAndListedAgain_getsNoRequests)
+{
+    start(0, 1);
+    upstream_record entry = record("desk-1", "desk", 6);
+    entry.incarnation = 5;
+    apply(entry_event::upstream_listed {entry});
+    exchange_id id = request("read");
+    while (sentTo() != "desk-1") {
+        id = request("read");
+    }
+    answer_summary leavingAnswer {200, false, true, std::nullopt};
+    leavingAnswer.isLeaving = true;
+    apply(entry_event::answer_received {id, leavingAnswer});
+    apply(entry_event::upstream_unlisted {"desk-1"});
+    apply(entry_event::upstream_listed {entry});
+    for (int i = 0; i < 5; ++i) {
+        request("read");
+        BOOST_TEST(sentTo() == "desk-0");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(leavingFromAnotherRouter_upstream_getsNoRequests)
 {
     start(0, 2);
