Object follower: a router that alone is refused gives removed upstreams no grace

Cause: an entry that vanishes after an outage stays usable, as it may only have expired. A router's own failed calls counted as an outage, while others were served.

Evidence: upstream_unlisted with grace_ms 0 at three routers and 2541 at the refused one, for the same upstream. removal_whileTheApiServesOtherRouters_hasNoGrace fails without the change (2 checks).

Ruled out: late news (0.68 s), requests that were placed before and sent later.

Change: heartbeats say how long ago the API answered the sender. api_availability finds whether it has served any one router for 6 s without a break of 1.5 s: longer than an entry takes to expire and return. While that holds, own failures give no grace.

--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -70,6 +70,11 @@
     std::string from;
 };
 
+/// Whether the API serves other routers steadily, as api_availability::isSteady().
+struct availability_changed {
+    bool servesOthers = false;
+};
+
 /// Whether this router calls the API on behalf of others.
 struct role_changed {
     bool watchesApi = true; // false: it gets snapshots from routers that do
@@ -109,7 +114,7 @@
 public:
     using event = std::variant<follower_event::page_received, follower_event::changes_received, follower_event::history_expired,
                                follower_event::call_failed, follower_event::snapshot_received, follower_event::copy_differs,
-                               follower_event::role_changed, follower_event::tick>;
+                               follower_event::availability_changed, follower_event::role_changed, follower_event::tick>;
     using effect = std::variant<follower_effect::read_page, follower_effect::watch_changes, follower_effect::object_changed,
                                 follower_effect::object_removed, log_record>;
 
@@ -190,6 +195,7 @@
     void on(time_point now, const follower_event::call_failed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::snapshot_received &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::copy_differs &input, std::vector<effect> &effects);
+    void on(time_point now, const follower_event::availability_changed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::role_changed &input, std::vector<effect> &effects);
     void on(time_point now, const follower_event::tick &input, std::vector<effect> &effects);
 
@@ -219,6 +225,7 @@
     void mergeKept(time_point now, const std::vector<stored_object> &objects, std::vector<effect> &effects);
     void endKeeping(time_point now, std::vector<effect> &effects);
     void logMended(bool wasActive, std::vector<effect> &effects) const;
+    /// How long objects that vanish now stay usable. None while other routers are served: then only this router is refused.
     duration missingGrace(time_point now) const;
 
     follower_options m_options;
@@ -245,6 +252,8 @@
     time_point m_failingSince;
     time_point m_callStartedAt; // start of the running call
     time_point m_lastFailedAt; // start of the last failed call; the API may have been available again since then
+    bool m_servesOthers = false; // as in availability_changed
+    std::optional<time_point> m_restoredAt; // start of the era, if this router knew an earlier one
     bool m_hadOutage = false; // the failures before the last answer lasted for limits::minOutage
 };
 
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -180,6 +180,9 @@
     request.target = std::move(target);
     request.timeout = timeout;
     m_calls.call(request, [this, kind, decode](const call_result &result) {
+        if (result.status == platform::historyExpiredStatus || result.status == 200) {
+            m_apiAnsweredAt = now();
+        }
         if (result.status == platform::historyExpiredStatus) {
             apply(kind, follower_event::history_expired {});
             return;
@@ -334,7 +337,9 @@
         carryOut(log_record {log_event::clockGap, line.take()});
     }
     m_lastTickAt = tickTime;
+    const bool servesOthers = m_apiAvailability.isSteady(now());
     for (std::size_t i = 0; i < objectKindCount; ++i) {
+        apply(static_cast<object_kind>(i), follower_event::availability_changed {servesOthers});
         apply(static_cast<object_kind>(i), follower_event::tick {});
     }
     apply(gossip_event::tick {isApiReachable()});
--- a/programs/entry/entry_daemon.h
+++ b/programs/entry/entry_daemon.h
@@ -14,6 +14,7 @@
 #include "serving/listener.h"
 #include "serving/serving_core.h"
 
+#include <nutmegtally/api_availability.h>
 #include <nutmegtally/leader_election.h>
 #include <nutmegtally/object_follower.h>
 #include <nutmegtally/router_gossip.h>
@@ -138,6 +139,8 @@
     std::array<object_follower, objectKindCount> m_followers; // indexed by object_kind
     router_gossip m_gossip;
     leader_election m_election;
+    api_availability m_apiAvailability;
+    std::optional<time_point> m_apiAnsweredAt; // last answer to a call of this router, of any kind of object
     std::array<compressed_snapshot, objectKindCount> m_compressedSnapshots; // indexed by object_kind
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -112,6 +112,9 @@
 {
     const time_point at = now();
     compareCopies(heartbeat.digests, heartbeat.name);
+    if (heartbeat.sinceApiAnswer) {
+        m_apiAvailability.recordAnswer(heartbeat.name, at - *heartbeat.sinceApiAnswer);
+    }
     m_election.recordHeartbeat(heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, heartbeat.interval,
                                at);
     bool isNewer = false;
@@ -350,6 +353,9 @@
     heartbeat.isApiReachable = isApiReachable();
     heartbeat.routersCovered = static_cast<std::uint32_t>(m_serving.entryCore().upstreams().activeSources(now()));
     heartbeat.interval = m_heartbeatInterval;
+    if (m_apiAnsweredAt) {
+        heartbeat.sinceApiAnswer = now() - *m_apiAnsweredAt;
+    }
     heartbeat.digests = ownDigests();
     heartbeat.evidence = m_serving.takeEvidence();
     heartbeat.limits = m_serving.takeLimits();
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -329,11 +329,16 @@
         leaving.push_back({each.upstream, each.incarnation});
     }
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(heartbeat.interval).count();
+    json sinceApiAnswer; // null if there is none
+    if (heartbeat.sinceApiAnswer) {
+        sinceApiAnswer = std::chrono::duration_cast<std::chrono::milliseconds>(*heartbeat.sinceApiAnswer).count();
+    }
     std::string bytes;
-    json::to_msgpack(json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval,
-                                  load.source, static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving),
-                                  std::move(digests), recentRouters, evidenceToJson(heartbeat.evidence), limitsToBytes(heartbeat.limits)}),
-                     bytes);
+    json::to_msgpack(
+        json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval, load.source,
+                     static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving), std::move(digests), recentRouters,
+                     evidenceToJson(heartbeat.evidence), limitsToBytes(heartbeat.limits), std::move(sinceApiAnswer)}),
+        bytes);
     return bytes;
 }
 
@@ -392,6 +397,9 @@
     if (document.size() > 13) {
         heartbeat.limits = limitsFromBytes(document.at(13).get_ref<const std::string &>());
     }
+    if (document.size() > 14 && !document.at(14).is_null()) {
+        heartbeat.sinceApiAnswer = std::chrono::milliseconds(document.at(14).get<std::uint32_t>());
+    }
     return heartbeat;
 }
 
--- a/programs/entry/gossip_codec.h
+++ b/programs/entry/gossip_codec.h
@@ -48,6 +48,7 @@
     std::vector<std::uint32_t> recentRouters; // name keys of live routers; not in every heartbeat
     std::vector<part_evidence> evidence; // on prompt parts that crash engines, from all routers
     std::vector<limit_statement> limits; // that upstreams stated to any router
+    std::optional<duration> sinceApiAnswer; // since the object API last answered a call of the sender; nothing if it never did
 };
 
 /// Encodes a heartbeat. Counts above 16 bits are clamped, and pending prefill tokens are rounded up to a multiple of 64.
--- a/src/limits.h
+++ b/src/limits.h
@@ -216,6 +216,9 @@
 inline constexpr duration stepDownDelay = 2s;
 inline constexpr std::size_t maxRemovals = 512; // of one kind; a router that missed more gets the whole state
 inline constexpr duration minHeldBackTime = 6s; // an entry of an upstream that is gone has expired again by then
+// Entries expire three heartbeats of their upstreams after the API fell silent, and are back within two seconds of its return.
+inline constexpr duration minSteadyService = 6s;
+inline constexpr duration maxServiceBreak = 1500ms; // between two answers; more than a short watch, and less than makes entries expire
 inline constexpr duration minOutage = 700ms; // of failed calls; a single broken connection is replaced sooner
 inline constexpr duration minDoubtInterval = 5s; // between lists because of another router's copy: that router may be the wrong one
 inline constexpr duration syncInterval = 1s; // between syncs with other routers
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -89,9 +89,7 @@
         .with("previous_era", m_asOf.era)
         .with("previous", m_asOf.number);
     effects.emplace_back(log_record {log_event::storeRestored, line.take()});
-    // Entries may also have expired while the store was away.
-    m_lastFailedAt = now;
-    m_hadOutage = true;
+    m_restoredAt = now; // entries may also have expired while the store was away
 }
 
 void object_follower::recordAnswer(time_point now, std::vector<effect> &effects)
@@ -359,6 +357,11 @@
     effects.emplace_back(log_record {log_event::copyDiffers, line.take()});
 }
 
+void object_follower::on(time_point, const follower_event::availability_changed &input, std::vector<effect> &)
+{
+    m_servesOthers = input.servesOthers;
+}
+
 void object_follower::on(time_point now, const follower_event::role_changed &input, std::vector<effect> &)
 {
     m_usesShortWatches = input.usesShortWatches;
@@ -506,7 +509,10 @@
 
 duration object_follower::missingGrace(time_point now) const
 {
-    return m_failures > 0 || m_hadOutage ? std::max(duration(0), m_options.missingGrace - (now - m_lastFailedAt)) : duration(0);
+    const bool isOutage = (m_failures > 0 || m_hadOutage) && !m_servesOthers;
+    const duration afterOutage = isOutage ? m_options.missingGrace - (now - m_lastFailedAt) : duration(0);
+    const duration afterRestore = m_restoredAt ? m_options.missingGrace - (now - *m_restoredAt) : duration(0);
+    return std::max({duration(0), afterOutage, afterRestore});
 }
 
 } // namespace nutmegtally
--- a/tests/test_object_follower.cpp
+++ b/tests/test_object_follower.cpp
@@ -301,6 +301,31 @@
     BOOST_TEST((4900ms + effect<follower_effect::object_removed>()->grace < lastFailure + 3s));
 }
 
+// Guards against a grace at a router that alone is refused: it went on sending to an upstream that had left, for up to 2.8 s after
+// other routers had told it so.
+BOOST_AUTO_TEST_CASE(removal_whileTheApiServesOtherRouters_hasNoGrace)
+{
+    start();
+    outage(4900ms);
+    at(4900ms, follower_event::availability_changed {true});
+    at(4900ms, all({object("a", 3)}, 16));
+    BOOST_REQUIRE(effect<follower_effect::object_removed>() != nullptr);
+    BOOST_TEST((effect<follower_effect::object_removed>()->grace == 0ms));
+    const duration answeredAt = nextCall(4900ms) + 5ms;
+    at(answeredAt, follower_event::changes_received {{deleted("a", 17)}, 17});
+    BOOST_REQUIRE(effect<follower_effect::object_removed>() != nullptr);
+    BOOST_TEST((effect<follower_effect::object_removed>()->grace == 0ms));
+}
+
+BOOST_AUTO_TEST_CASE(removalInASnapshot_whoseSenderSawAnOutage_keepsItsGrace)
+{
+    start();
+    at(1s, follower_event::availability_changed {true});
+    at(1s, follower_event::snapshot_received {{10, 30, {}, {"a"}, 1500ms}, "router"});
+    BOOST_REQUIRE(effect<follower_effect::object_removed>() != nullptr);
+    BOOST_TEST((effect<follower_effect::object_removed>()->grace == 1500ms));
+}
+
 BOOST_AUTO_TEST_CASE(watch_afterFailures_isShort)
 {
     start();
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -425,6 +425,7 @@
     sent.isApiReachable = false;
     sent.routersCovered = 20;
     sent.interval = 150ms;
+    sent.sinceApiAnswer = 1200ms;
     sent.load = {"domain", {{0x0102030400000000, 2, 640}}, {{4, {5, 6}}}, {{9, 10}}, load_scope::domain};
     sent.digests = {{"config", {1, 7}, 8, true}};
     sent.recentRouters = {11, 0xffffffff};
@@ -437,6 +438,7 @@
     BOOST_TEST(!read.isApiReachable);
     BOOST_TEST(read.routersCovered == 20U);
     BOOST_TEST((read.interval == 150ms));
+    BOOST_TEST((read.sinceApiAnswer == duration(1200ms)));
     BOOST_TEST(read.load.source == "domain");
     BOOST_TEST((read.load.scope == load_scope::domain));
     BOOST_TEST(read.load.usage.at(0).upstream == 0x0102030400000000U);
