Upstreams: routers with the same reports no longer choose the same server

Cause: requests to that service take some tens of milliseconds, reports of other routers arrive after some hundred. Their figures are of requests that have ended, and each router chose the server that the last reports showed idle: load 0.0 to 3.0 in attempt_started, 8 to 12 requests there. The spread by what is not reported yet was for engines alone.

Ruled out: engines as the larger part; a bound that is too high (the routers believed to be far below it).

Change: for services without engines, reported requests count as far as they are still running. By Little's law that follows from the rate of requests to the service, the age of the reports and the figure itself. What has come since counts with its mean, spread at random. A server that holds many requests for long keeps its figure.

--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -329,6 +329,8 @@
     std::uint64_t pendingPrefillTokens(const upstream_entry &upstream, time_point now) const;
     /// Estimated prefill time per engine of the prompts that other routers have placed but not reported yet.
     double unreportedPrefillMs(std::size_t engines, time_point now) const;
+    /// Estimated requests that other routers have started at each upstream of a service but not reported yet.
+    double unreportedStarts(std::string_view service, std::size_t upstreams, time_point now) const;
     upstream_entry *mutableState(upstream_number number);
 
     std::string m_ownDomain;
@@ -360,6 +362,12 @@
     bool m_isLeader = true; // until other routers are known, as in leader_election
     std::unordered_set<upstream_number> m_cacheKnown; // engines whose cached parts another router or they themselves listed
     upstream_number m_lastNumber = noUpstreamNumber;
+    struct recent_starts {
+        double count = 0; // decays with limits::startRateHalfLife
+        time_point at; // last update of count
+    };
+
+    std::unordered_map<std::string, recent_starts> m_recentStarts; // this router's, by service
     double m_recentPrefillTokens = 0; // of this router's requests; decays with limits::prefillRateHalfLife
     time_point m_recentPrefillAt; // last update of m_recentPrefillTokens
     duration m_updateInterval {0}; // moving average of the time between two load updates of one source
--- a/src/placement_score.cpp
+++ b/src/placement_score.cpp
@@ -3,6 +3,7 @@
 #include "limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace nutmegtally::detail
 {
@@ -26,6 +27,13 @@
     return terms;
 }
 
+double expectedLoad(const service_option &option, double random)
+{
+    // By Little's law requests last as long as it takes to start as many as run at a time.
+    const double stillRunning = option.unreported <= 0 ? 1.0 : option.others > 0 ? std::exp(-option.unreported / option.others) : 0.0;
+    return option.own + stillRunning * option.others + (1.0 - stillRunning) * 2.0 * random * option.othersMean;
+}
+
 score_terms scoreService(double load, unsigned slots)
 {
     const double capacity = std::max(1U, slots);
--- a/src/placement_score.h
+++ b/src/placement_score.h
@@ -41,6 +41,18 @@
 /// Terms that depend on the engine and the prompt.
 score_terms scoreEngine(const engine_option &option, const mechanism_set &mechanisms);
 
+/// An upstream that is not an engine, as far as the score depends on it.
+struct service_option {
+    double own = 0; // requests of this router there
+    double others = 0; // requests of other routers there, by their last reports
+    double othersMean = 0; // the same, mean over the upstreams of the service
+    double unreported = 0; // requests that other routers have started there since those reports
+};
+
+/// Requests to expect at an upstream that is not an engine. What other routers reported counts as far as it is still running.
+/// @param random From 0 to 1. Spreads what is not reported around its mean, so that routers with the same reports choose differently.
+double expectedLoad(const service_option &option, double random);
+
 /// Load term of an upstream that is not an engine.
 /// @param load Requests there.
 score_terms scoreService(double load, unsigned slots);
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -595,6 +595,12 @@
     // as the load that they may have placed without reporting it yet.
     const bool spreads = isEngine && m_mechanisms.has(mechanism::randomSpread);
     const double spreadMs = spreads ? limits::unreportedPrefillSpread * unreportedPrefillMs(eligible.size(), now) : 0;
+    const bool spreadsStarts = !isEngine && m_mechanisms.has(mechanism::randomSpread);
+    detail::service_option service;
+    service.unreported = spreadsStarts ? unreportedStarts(request.service, eligible.size(), now) : 0;
+    for (const candidate &each : eligible) {
+        service.othersMean += (each.load - each.state->inFlight) / count;
+    }
     for (const candidate &each : eligible) {
         upstream_entry &state = *each.state;
         const double slots = std::max(1U, state.record.slots);
@@ -620,8 +626,11 @@
         }
         placement option;
         option.upstream = state.number;
+        const double tie = static_cast<double>(mixHash(request.tieBreak, state.number) >> 11) / static_cast<double>(1ULL << 53);
+        service.own = state.inFlight;
+        service.others = each.load - state.inFlight;
         detail::score_terms terms = isEngine ? scoreEngine(each, *request.parts, *rule, prompt, option, now)
-                                             : detail::scoreService(each.load, state.record.slots);
+                                             : detail::scoreService(detail::expectedLoad(service, 1.0 - tie), state.record.slots);
         if (m_mechanisms.has(mechanism::crossDomainPenalty) && state.record.domain != m_ownDomain) {
             terms.crossDomain = limits::crossDomainMs;
         }
@@ -636,7 +645,6 @@
         option.limitedPerSecond = best.limitedPerSecond;
         option.load = each.load;
         option.loadAge = state.hasReport ? now - state.reportedAt : duration(0);
-        const double tie = static_cast<double>(mixHash(request.tieBreak, state.number) >> 11) / static_cast<double>(1ULL << 53);
         const double score = terms.total() - tie * spreadMs;
         option.score = score;
         const bool better
@@ -674,6 +682,19 @@
            / limits::assumedPrefillTokensPerMs;
 }
 
+double upstream_set::unreportedStarts(std::string_view service, std::size_t upstreams, time_point now) const
+{
+    const auto own = m_recentStarts.find(std::string(service));
+    if (own == m_recentStarts.end()) {
+        return 0;
+    }
+    // As in unreportedPrefillMs().
+    const double perMs = own->second.count * halved(now - own->second.at, limits::startRateHalfLife) * std::log(2.0)
+                         / milliseconds(limits::startRateHalfLife);
+    const double others = static_cast<double>(routers() - 1);
+    return perMs * others * limits::loadUpdateHops * milliseconds(m_updateInterval) / static_cast<double>(upstreams);
+}
+
 void upstream_set::start(upstream_number number, const prompt_parts &parts, std::uint64_t prefillTokens, std::uint64_t kvTokens,
                          time_point now)
 {
@@ -682,6 +703,9 @@
         return;
     }
     ++state->inFlight;
+    recent_starts &recent = m_recentStarts[state->record.service];
+    recent.count = recent.count * halved(now - recent.at, limits::startRateHalfLife) + 1;
+    recent.at = now;
     m_recentPrefillTokens
         = m_recentPrefillTokens * halved(now - m_recentPrefillAt, limits::prefillRateHalfLife) + static_cast<double>(prefillTokens);
     m_recentPrefillAt = now;
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -322,6 +322,106 @@
     BOOST_TEST(worst < worstSlow);
 }
 
+/// Many routers that send short requests to the same few upstreams, which are no engines. Load updates arrive long after the requests that
+/// they report have ended.
+struct service_model {
+    static constexpr unsigned upstreams = 8;
+    static constexpr duration holdTime = 80ms;
+    static constexpr duration updateInterval = 500ms;
+
+    explicit service_model(unsigned routerCount)
+    {
+        rules.services.push_back({"desk", 0, 0, 0, 0});
+        std::vector<std::string> names;
+        for (unsigned i = 0; i < routerCount; ++i) {
+            names.push_back("router-" + std::to_string(i));
+        }
+        for (unsigned i = 0; i < routerCount; ++i) {
+            routers.emplace_back("domain");
+            routers.back().setRouters(names[i], names);
+            for (unsigned j = 0; j < upstreams; ++j) {
+                upstream_record record;
+                record.instance = "desk-" + std::to_string(j);
+                record.service = "desk";
+                record.address = record.instance;
+                record.domain = "domain";
+                record.slots = 6;
+                routers.back().upsert(record, now);
+            }
+        }
+    }
+
+    void advance(duration step)
+    {
+        now += step;
+        std::erase_if(runs, [this](const fleet_model::run &each) {
+            if (each.endsAt > now) {
+                return false;
+            }
+            routers[each.router].finish(each.number, 0, 0, false);
+            --held[each.engine];
+            return true;
+        });
+        if (now < nextUpdate) {
+            return;
+        }
+        nextUpdate = now + updateInterval;
+        std::vector<load_update> updates;
+        for (const upstream_set &router : routers) {
+            updates.push_back(router.ownLoad(now));
+        }
+        for (std::size_t i = 0; i < routers.size(); ++i) {
+            for (std::size_t j = 0; j < updates.size(); ++j) {
+                if (i != j) {
+                    routers[i].applyUpdate(updates[j], true, now);
+                }
+            }
+        }
+    }
+
+    void send(unsigned router)
+    {
+        placement_query wanted;
+        wanted.service = "desk";
+        wanted.tieBreak = ++requests;
+        const placement choice = routers[router].choose(wanted, rules, now);
+        BOOST_REQUIRE(choice.outcome == placement_outcome::chosen);
+        const std::string &upstream = routers[router].find(choice.upstream)->record.instance;
+        const double mean = static_cast<double>(runs.size()) / upstreams;
+        overBound += held[upstream] > 2 * mean + 3 ? 1 : 0;
+        ++held[upstream];
+        routers[router].start(choice.upstream, {}, 0, 0, now);
+        runs.push_back({now + holdTime, router, choice.upstream, upstream, 0});
+    }
+
+    traffic_rules rules;
+    std::vector<upstream_set> routers;
+    std::vector<fleet_model::run> runs;
+    std::map<std::string, unsigned> held; // requests by upstream
+    time_point now {1s};
+    time_point nextUpdate {1s};
+    std::uint64_t requests = 0;
+    unsigned overBound = 0; // requests at an upstream that held over twice the mean and three
+};
+
+// Pattern: a hundred routers send short requests to eight upstreams. Guards against all of them choosing the upstream that the last load
+// updates showed idle.
+BOOST_AUTO_TEST_CASE(hundredRouters_shortRequests_keepEveryUpstreamBelowTwiceTheMeanAndThree)
+{
+    service_model model(100);
+    std::mt19937 random(1);
+    std::uniform_int_distribution<unsigned> anyRouter(0, 99);
+    for (unsigned i = 0; i < 6000; ++i) { // 300 a second
+        if (i % 3 == 0) {
+            model.advance(10ms);
+        }
+        model.send(anyRouter(random));
+    }
+    const double share = static_cast<double>(model.overBound) / static_cast<double>(model.requests);
+    BOOST_TEST_MESSAGE("share of requests at upstreams over the bound: " << share);
+    BOOST_TEST(share < 0.03); // the platform's bound
+}
+
 // Pattern: a hundred routers and known contexts. Within some updates all routers know which engine has cached a context.
 BOOST_AUTO_TEST_CASE(hundredRouters_knownContexts_areFoundThroughLeaders)
 {
