Platform: an entry that cannot be read no longer hides the others

Cause: pages and answers of watches were parsed as one document, which fails as a whole. The call counted as failed and was repeated forever.

Evidence: decodePageAndChanges_oneUnreadableEntry_theOthersHold: the decoder threw for each of five kinds of damage.

Ruled out: the decoder of single upstreams, which rejected fields that are missing or of another type as it should.

Change: if a document cannot be parsed, its structure is read and each object decoded by itself. Unreadable content becomes null, which the decoder of the kind rejects (entry_unreadable, nutmegtally_entry_unreadable_objects_total); an object without a readable name or revision is left out, logged and counted.

--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -43,12 +43,14 @@
     std::vector<stored_object> objects;
     bool hasMore = false;
     store_revision asOf; // without an era if the answer does not tell
+    unsigned unreadable = 0; // objects whose name or revision could not be read
 };
 
 /// Result of a watch; no objects if nothing changed within its timeout.
 struct changes_received {
     std::vector<stored_object> objects;
     store_revision asOf; // as in page_received
+    unsigned unreadable = 0; // as in page_received
 };
 
 /// The API no longer has the changes since the revision of the watch.
@@ -200,6 +202,7 @@
     void on(time_point now, const follower_event::tick &input, std::vector<effect> &effects);
 
     void recordAnswer(time_point now, std::vector<effect> &effects);
+    void logUnreadable(unsigned objects, std::vector<effect> &effects) const;
     /// Lists if the copy is incomplete or in doubt, else watches.
     void startCall(time_point now, std::vector<effect> &effects);
     void startList(time_point now, std::vector<effect> &effects);
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -269,6 +269,8 @@
     m_log.write(now(), record);
     if (record.event == log_event::attemptStarted) {
         m_metrics.attemptStarted();
+    } else if (record.event == log_event::entryUnreadable) {
+        m_metrics.objectUnreadable();
     }
 }
 
--- a/programs/entry/entry_metrics.cpp
+++ b/programs/entry/entry_metrics.cpp
@@ -6,6 +6,7 @@
 entry_metrics::entry_metrics()
     : m_requests(m_metrics.counterFamily("nutmegtally_entry_requests_total", "Finished requests by outcome and reason"))
     , m_attempts(m_metrics.counter("nutmegtally_entry_attempts_total", "Requests sent to upstreams"))
+    , m_unreadableObjects(m_metrics.counter("nutmegtally_entry_unreadable_objects_total", "Objects of the platform that could not be read"))
     , m_callers(m_metrics.gauge("nutmegtally_entry_callers", "Open connections of callers"))
     , m_openRequests(m_metrics.gauge("nutmegtally_entry_open_requests", "Requests without a final answer"))
     , m_connectionsOpened(m_metrics.gauge("nutmegtally_entry_upstream_connections", "Connections opened to upstreams since the start"))
@@ -30,6 +31,11 @@
     m_attempts.Increment();
 }
 
+void entry_metrics::objectUnreadable()
+{
+    m_unreadableObjects.Increment();
+}
+
 void entry_metrics::requestFinished(const exchange_report &report)
 {
     const metric_labels labels {{"outcome", std::string(report.outcome)}, {"reason", std::string(report.reason)}};
--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -34,6 +34,7 @@
     entry_metrics();
 
     void attemptStarted();
+    void objectUnreadable();
     void requestFinished(const exchange_report &report);
 
     /// Metrics in the Prometheus text format.
@@ -45,6 +46,7 @@
     daemon_metrics m_metrics;
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Counter &m_attempts;
+    prometheus::Counter &m_unreadableObjects;
     prometheus::Gauge &m_callers;
     prometheus::Gauge &m_openRequests;
     prometheus::Gauge &m_connectionsOpened;
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -104,6 +104,15 @@
     m_failures = 0;
 }
 
+void object_follower::logUnreadable(unsigned objects, std::vector<effect> &effects) const
+{
+    if (objects > 0) {
+        log_line line;
+        line.with("kind", m_options.kind).with("objects", objects).with("why", "no name or revision");
+        effects.emplace_back(log_record {log_event::entryUnreadable, line.take()});
+    }
+}
+
 void object_follower::on(time_point now, const follower_event::page_received &input, std::vector<effect> &effects)
 {
     if (m_phase != phase::listing) {
@@ -115,6 +124,7 @@
         return;
     }
     recordAnswer(now, effects);
+    logUnreadable(input.unreadable, effects);
     // A change between two pages is in none of them, so the watch has to begin at the first one.
     const store_revision asOf = m_listedAsOf ? std::min(*m_listedAsOf, pageAsOf) : pageAsOf;
     m_listedAsOf = asOf;
@@ -165,6 +175,7 @@
         paceNextCall(now, false);
         return;
     }
+    logUnreadable(input.unreadable, effects);
     const bool wasKeeping = m_guard.isActive();
     const store_revision newAsOf = std::max(m_asOf, asOf);
     for (stored_object object : input.objects) {
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -322,6 +322,48 @@
 }
 
 // Guards against revisions of a restored store that are taken for those of the time before.
+// Guards against one entry of another writer that hides all others, so that no router became ready.
+BOOST_AUTO_TEST_CASE(decodePageAndChanges_oneUnreadableEntry_theOthersHold)
+{
+    const std::string good
+        = R"({"metadata":{"name":"good","revision":4},"spec":{"service":"caf\u00e9","born":1,"sequence":2},"status":null})";
+    const std::string damaged[] = {
+        R"({"count":12345678901234567890123})",
+        R"({"count":1e400})",
+        R"({"text":"\ud800"})",
+        "{\"text\":\"\xff\xfe\"}",
+        "{\"text\":\"\x01\"}",
+    };
+    for (const std::string &spec : damaged) {
+        const std::string bad = R"({"metadata":{"name":"bad","revision":5},"spec":)" + spec + R"(,"status":null})";
+        const auto page = platform::decodePage(R"({"items":[)" + bad + "," + good + R"(],"has_more":true,"as_of":9})", 3);
+        BOOST_REQUIRE(page.objects.size() == 2U);
+        BOOST_TEST(page.objects[0].name == "bad");
+        BOOST_TEST(page.objects[0].text == "null");
+        BOOST_TEST(page.objects[1].name == "good");
+        BOOST_TEST(page.objects[1].text == "{\"service\":\"caf\xc3\xa9\",\"born\":1,\"sequence\":2}");
+        BOOST_TEST(page.objects[1].content.number == 2U);
+        BOOST_TEST(page.hasMore);
+        BOOST_TEST((page.asOf == store_revision(3, 9)));
+        BOOST_TEST(page.unreadable == 0U);
+
+        const auto changes = platform::decodeChanges(
+            R"({"as_of":12,"events":[{"object":)" + good + R"(,"deleted":true},{"object":)" + bad + R"(,"deleted":false}]})", 3);
+        BOOST_REQUIRE(changes.objects.size() == 2U);
+        BOOST_TEST(changes.objects[0].isDeleted);
+        BOOST_TEST(changes.objects[1].text == "null");
+        BOOST_TEST(!changes.objects[1].isDeleted);
+        BOOST_TEST((changes.asOf == store_revision(3, 12)));
+    }
+    const auto page
+        = platform::decodePage("{\"items\":[{\"metadata\":{\"name\":\"\xff\",\"revision\":5},\"spec\":{}}," + good + R"(],"as_of":9})", 3);
+    BOOST_REQUIRE(page.objects.size() == 1U);
+    BOOST_TEST(page.objects[0].name == "good");
+    BOOST_TEST(page.unreadable == 1U);
+    BOOST_CHECK_THROW(platform::decodePage(R"({"items":[{"metadata":)", 3), std::exception);
+    BOOST_CHECK_THROW(platform::decodePage("{\"items\":[\xff],\"as_of\":1", 3), std::exception);
+}
+
 BOOST_AUTO_TEST_CASE(decodePage_eraAndVersionOfTheContent_areRead)
 {
     http_head answerHead;
