Platform: an empty list of client accounts lets no key in

Cause: "keys are needed" was read from the number of accounts, not from the list being there.

Evidence: decodeRules_emptyListOfAccounts_needsKeysThatNobodyHas; the check is of the member that was missing.

Ruled out: keys that stay after their account is gone (they are looked up in the same version).

Change: traffic_rules::listsAccounts. A configuration without the list needs no keys, as before.

--- a/include/nutmegtally/traffic_rules.h
+++ b/include/nutmegtally/traffic_rules.h
@@ -91,6 +91,7 @@
     std::vector<route_rule> routes;
     std::vector<service_rule> services;
     std::vector<account_rule> accounts;
+    bool listsAccounts = false; // the configuration has a list of accounts; if it is empty, no key is valid
     std::unordered_map<std::string, std::size_t> accountOfKey; // key to index in accounts
     caller_limits limits;
 
@@ -112,7 +113,7 @@
     /// True if callers need a key on routes that are not public.
     bool needsKeys() const
     {
-        return !accounts.empty();
+        return listsAccounts || !accounts.empty();
     }
 
 private:
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -87,6 +87,16 @@
     BOOST_TEST(affinityKeyOf(request.parts) == 0x91bd3f06U);
 }
 
+// Guards against every key being let in once the last account was removed.
+BOOST_AUTO_TEST_CASE(decodeRules_emptyListOfAccounts_needsKeysThatNobodyHas)
+{
+    const std::string bare = R"({"version":1,"routes":[],"services":[])";
+    BOOST_TEST(!platform::decodeRules(bare + "}")->needsKeys());
+    const auto rules = platform::decodeRules(bare + R"(,"tenants":[]})");
+    BOOST_TEST(rules->needsKeys());
+    BOOST_TEST(rules->accountFor("k1") == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(decodeRequest_withoutId_isRejected)
 {
     head.fields.erase(head.fields.begin() + 1);
