Tests: an upstream that drained comes back as another start

What was seen: e2e_entry failed in test_sigterm_openRequests_areFinished, six requests with 503 no_upstream, once in one run of all tests.

Cause: the tests' platform set an entry from draining back to ready with the same "born".

Ruled out: a router that forgot the entry: router-0, restarted, lists all four as ready from router-1's copy.

Change: set_state() restarts the upstream. All checks and bounds stay as they are, and the return of an upstream is now the case that occurs.

--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -115,7 +115,10 @@
         return self.version
 
     def set_state(self, name: str, state: str) -> None:
-        self.entries[name] = {**self.entries[name], "state": state, "sequence": self.entries[name]["sequence"] + 1}
+        entry = self.entries[name]
+        restarts = entry["state"] == "draining" and state == "ready"  # a server that drains exits; its next start has another "born"
+        changes = {"born": entry["born"] + 1, "sequence": 1} if restarts else {"sequence": entry["sequence"] + 1}
+        self.entries[name] = {**entry, "state": state, **changes}
         self.store.put("servers", name, self.entries[name])
 
     def wait_ready(self, seconds: float = 10) -> None:
