Upstreams: one estimate of what other routers have not reported yet

The mean load of others is computed only for services without engines, which alone use it. In the tests, both models make their routers in one function, and a guard comment stands above its own test again.

--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -327,6 +327,15 @@
     detail::score_terms scoreEngine(const candidate &option, const prompt_parts &parts, const service_rule &rule,
                                     const prompt_cache_view &prompt, placement &details, time_point now) const;
     std::uint64_t pendingPrefillTokens(const upstream_entry &upstream, time_point now) const;
+    /// An amount that decays with limits::recentSumHalfLife, from which its rate follows.
+    struct recent_sum {
+        double amount = 0;
+        time_point at; // last update of amount
+    };
+
+    static void addRecent(recent_sum &sum, double amount, time_point now);
+    /// Estimated amount per upstream that other routers have placed but not reported yet.
+    double unreportedByOthers(const recent_sum &own, std::size_t upstreams, time_point now) const;
     /// Estimated prefill time per engine of the prompts that other routers have placed but not reported yet.
     double unreportedPrefillMs(std::size_t engines, time_point now) const;
     /// Estimated requests that other routers have started at each upstream of a service but not reported yet.
@@ -362,14 +371,8 @@
     bool m_isLeader = true; // until other routers are known, as in leader_election
     std::unordered_set<upstream_number> m_cacheKnown; // engines whose cached parts another router or they themselves listed
     upstream_number m_lastNumber = noUpstreamNumber;
-    struct recent_starts {
-        double count = 0; // decays with limits::startRateHalfLife
-        time_point at; // last update of count
-    };
-
-    std::unordered_map<std::string, recent_starts> m_recentStarts; // this router's, by service
-    double m_recentPrefillTokens = 0; // of this router's requests; decays with limits::prefillRateHalfLife
-    time_point m_recentPrefillAt; // last update of m_recentPrefillTokens
+    std::unordered_map<std::string, recent_sum> m_recentStarts; // of this router's requests, by service
+    recent_sum m_recentPrefillTokens; // of this router's requests
     duration m_updateInterval {0}; // moving average of the time between two load updates of one source
 };
 
--- a/src/limits.h
+++ b/src/limits.h
@@ -129,8 +129,7 @@
 inline constexpr double loadOverMeanSlack = 2.0; // requests; a ratio alone is meaningless in a nearly idle fleet
 // Update intervals until a router knows of another one's request: one to the leader, one in the leader's sum.
 inline constexpr double loadUpdateHops = 2.0;
-inline constexpr duration startRateHalfLife = 2s; // of this router's rate of requests to a service
-inline constexpr duration prefillRateHalfLife = 2s; // of this router's prefill rate; spans some tens of requests
+inline constexpr duration recentSumHalfLife = 2s; // of what this router placed lately; spans some tens of requests
 // Largest random score difference between equal engines, in multiples of unreportedPrefillMs().
 inline constexpr double unreportedPrefillSpread = 2.0;
 inline constexpr double loadUpdateIntervalWeight = 0.02; // of the newest time between two updates in the moving average
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -598,8 +598,10 @@
     const bool spreadsStarts = !isEngine && m_mechanisms.has(mechanism::randomSpread);
     detail::service_option service;
     service.unreported = spreadsStarts ? unreportedStarts(request.service, eligible.size(), now) : 0;
-    for (const candidate &each : eligible) {
-        service.othersMean += (each.load - each.state->inFlight) / count;
+    if (!isEngine) {
+        for (const candidate &each : eligible) {
+            service.othersMean += (each.load - each.state->inFlight) / count;
+        }
     }
     for (const candidate &each : eligible) {
         upstream_entry &state = *each.state;
@@ -672,27 +674,30 @@
     return best;
 }
 
-double upstream_set::unreportedPrefillMs(std::size_t engines, time_point now) const
+double upstream_set::unreportedByOthers(const recent_sum &own, std::size_t upstreams, time_point now) const
 {
     // Assumes that each other router places as much as this one and reports it loadUpdateHops updates later.
-    const double perMs = m_recentPrefillTokens * halved(now - m_recentPrefillAt, limits::prefillRateHalfLife) * std::log(2.0)
-                         / milliseconds(limits::prefillRateHalfLife);
+    const double perMs
+        = own.amount * halved(now - own.at, limits::recentSumHalfLife) * std::log(2.0) / milliseconds(limits::recentSumHalfLife);
     const double others = static_cast<double>(routers() - 1);
-    return perMs * others * limits::loadUpdateHops * milliseconds(m_updateInterval) / static_cast<double>(engines)
-           / limits::assumedPrefillTokensPerMs;
+    return perMs * others * limits::loadUpdateHops * milliseconds(m_updateInterval) / static_cast<double>(upstreams);
+}
+
+double upstream_set::unreportedPrefillMs(std::size_t engines, time_point now) const
+{
+    return unreportedByOthers(m_recentPrefillTokens, engines, now) / limits::assumedPrefillTokensPerMs;
 }
 
 double upstream_set::unreportedStarts(std::string_view service, std::size_t upstreams, time_point now) const
 {
     const auto own = m_recentStarts.find(std::string(service));
-    if (own == m_recentStarts.end()) {
-        return 0;
-    }
-    // As in unreportedPrefillMs().
-    const double perMs = own->second.count * halved(now - own->second.at, limits::startRateHalfLife) * std::log(2.0)
-                         / milliseconds(limits::startRateHalfLife);
-    const double others = static_cast<double>(routers() - 1);
-    return perMs * others * limits::loadUpdateHops * milliseconds(m_updateInterval) / static_cast<double>(upstreams);
+    return own == m_recentStarts.end() ? 0 : unreportedByOthers(own->second, upstreams, now);
+}
+
+void upstream_set::addRecent(recent_sum &sum, double amount, time_point now)
+{
+    sum.amount = sum.amount * halved(now - sum.at, limits::recentSumHalfLife) + amount;
+    sum.at = now;
 }
 
 void upstream_set::start(upstream_number number, const prompt_parts &parts, std::uint64_t prefillTokens, std::uint64_t kvTokens,
@@ -703,12 +708,8 @@
         return;
     }
     ++state->inFlight;
-    recent_starts &recent = m_recentStarts[state->record.service];
-    recent.count = recent.count * halved(now - recent.at, limits::startRateHalfLife) + 1;
-    recent.at = now;
-    m_recentPrefillTokens
-        = m_recentPrefillTokens * halved(now - m_recentPrefillAt, limits::prefillRateHalfLife) + static_cast<double>(prefillTokens);
-    m_recentPrefillAt = now;
+    addRecent(m_recentStarts[state->record.service], 1, now);
+    addRecent(m_recentPrefillTokens, static_cast<double>(prefillTokens), now);
     state->pendingPrefillTokens += prefillTokens;
     state->kvTokens += kvTokens;
     if (now < state->coldUntil) {
--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -17,6 +17,21 @@
 
 using namespace nutmegtally;
 
+/// Routers of one domain that know each other.
+std::vector<upstream_set> connectedRouters(unsigned count)
+{
+    std::vector<std::string> names;
+    for (unsigned i = 0; i < count; ++i) {
+        names.push_back("router-" + std::to_string(i));
+    }
+    std::vector<upstream_set> routers;
+    for (const std::string &name : names) {
+        routers.emplace_back("domain");
+        routers.back().setRouters(name, names);
+    }
+    return routers;
+}
+
 /// Several routers that use the same engines, each with its own upstream_set. A request runs for a fixed time. Requests about
 /// the same context share a long prompt part.
 struct fleet_model {
@@ -37,14 +52,7 @@
         : sharesLoad(exchangesLoad)
     {
         rules.services.push_back({"engines", 0, 8.9, 64, 390'000});
-        std::vector<std::string> names;
-        for (unsigned i = 0; i < routerCount; ++i) {
-            names.push_back("router-" + std::to_string(i));
-        }
-        for (unsigned i = 0; i < routerCount; ++i) {
-            routers.emplace_back("domain");
-            routers.back().setRouters(names[i], names);
-        }
+        routers = connectedRouters(routerCount);
         for (unsigned i = 0; i < engines; ++i) {
             addEngine("engine-" + std::to_string(i));
         }
@@ -332,13 +340,8 @@
     explicit service_model(unsigned routerCount)
     {
         rules.services.push_back({"desk", 0, 0, 0, 0});
-        std::vector<std::string> names;
-        for (unsigned i = 0; i < routerCount; ++i) {
-            names.push_back("router-" + std::to_string(i));
-        }
-        for (unsigned i = 0; i < routerCount; ++i) {
-            routers.emplace_back("domain");
-            routers.back().setRouters(names[i], names);
+        routers = connectedRouters(routerCount);
+        for (upstream_set &router : routers) {
             for (unsigned j = 0; j < upstreams; ++j) {
                 upstream_record record;
                 record.instance = "desk-" + std::to_string(j);
@@ -346,7 +349,7 @@
                 record.address = record.instance;
                 record.domain = "domain";
                 record.slots = 6;
-                routers.back().upsert(record, now);
+                router.upsert(record, now);
             }
         }
     }
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -331,7 +331,6 @@
     BOOST_CHECK_THROW(platform::decodeChanges("<html>", 0), std::exception);
 }
 
-// Guards against revisions of a restored store that are taken for those of the time before.
 // Guards against one entry of another writer that hides all others, so that no router became ready.
 BOOST_AUTO_TEST_CASE(decodePageAndChanges_oneUnreadableEntry_theOthersHold)
 {
@@ -374,6 +373,7 @@
     BOOST_CHECK_THROW(platform::decodePage("{\"items\":[\xff],\"as_of\":1", 3), std::exception);
 }
 
+// Guards against revisions of a restored store that are taken for those of the time before.
 BOOST_AUTO_TEST_CASE(decodePage_eraAndVersionOfTheContent_areRead)
 {
     http_head answerHead;
