--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -11,6 +11,7 @@
 #include <nutmegtally/reducer.h>
 #include <nutmegtally/request_limits.h>
 #include <nutmegtally/retry_budget.h>
+#include <nutmegtally/rollout_control.h>
 #include <nutmegtally/traffic_rules.h>
 #include <nutmegtally/upstream_set.h>
 
@@ -111,6 +112,7 @@
     retry_bounds retries;
     bool queriesCaches = false; // engines may have prompts cached from before this router's start: ask them for their lists
     mechanism_set mechanisms {};
+    std::optional<rollout_bounds> rollouts = std::nullopt; // nothing: upstreams of all versions are used alike, and orders are ignored
 };
 
 namespace entry_event
@@ -235,6 +237,27 @@
     answer_end end {};
 };
 
+/// An order for a rollout, or its status, is new or has changed.
+struct rollout_ordered {
+    rollout_order order;
+};
+
+/// The object of an order was deleted, or cannot be read any more.
+struct rollout_withdrawn {
+    std::string service;
+};
+
+/// This router knows all orders up to a revision of the object store.
+struct rollouts_verified {
+    store_revision asOf;
+};
+
+/// Result of write_rollout_status.
+struct rollout_status_answered {
+    std::string service;
+    rollout_write_result result = rollout_write_result::unknown;
+};
+
 /// This router's rules, upstreams and closures are as new as those of another router or of the object API.
 struct state_verified {
 };
@@ -292,6 +315,12 @@
     std::variant<permit_request, permit_answer> message;
 };
 
+/// Write the status of an order, on condition that its object has not changed since the order's revision.
+struct write_rollout_status {
+    rollout_order order;
+    rollout_status status = rollout_status::trial;
+};
+
 /// Send a final answer of this router. Ends the exchange.
 struct refuse {
     exchange_id exchange = 0;
@@ -318,18 +347,19 @@
 class entry_core
 {
 public:
-    using event
-        = std::variant<entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted,
-                       entry_event::closures_changed, entry_event::routers_changed, entry_event::role_changed,
-                       entry_event::request_received, entry_event::caller_left, entry_event::load_update_received,
-                       entry_event::prompt_locations_received, entry_event::held_parts_read, entry_event::held_parts_unread,
-                       entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken, entry_event::answer_finished,
-                       entry_event::answer_progressed, entry_event::upstream_checked, entry_event::part_evidence_received,
-                       entry_event::part_released, entry_event::limits_received, entry_event::permit_requested,
-                       entry_event::permit_answered, entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
-    using effect = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer,
-                                entry_effect::list_held_parts, entry_effect::check_upstream, entry_effect::send_permit_message,
-                                entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
+    using event = std::variant<
+        entry_event::rules_changed, entry_event::upstream_listed, entry_event::upstream_unlisted, entry_event::closures_changed,
+        entry_event::routers_changed, entry_event::role_changed, entry_event::request_received, entry_event::caller_left,
+        entry_event::load_update_received, entry_event::prompt_locations_received, entry_event::held_parts_read,
+        entry_event::held_parts_unread, entry_event::answer_received, entry_event::attempt_failed, entry_event::stream_broken,
+        entry_event::answer_finished, entry_event::answer_progressed, entry_event::upstream_checked, entry_event::part_evidence_received,
+        entry_event::part_released, entry_event::limits_received, entry_event::permit_requested, entry_event::permit_answered,
+        entry_event::rollout_ordered, entry_event::rollout_withdrawn, entry_event::rollouts_verified, entry_event::rollout_status_answered,
+        entry_event::state_verified, entry_event::drain_requested, entry_event::tick>;
+    using effect
+        = std::variant<entry_effect::start_attempt, entry_effect::stop_attempt, entry_effect::relay_answer, entry_effect::list_held_parts,
+                       entry_effect::check_upstream, entry_effect::send_permit_message, entry_effect::write_rollout_status,
+                       entry_effect::refuse, entry_effect::cut_answer, exchange_report, log_record>;
 
     explicit entry_core(entry_options options);
 
@@ -403,6 +433,11 @@
         return m_quarantine.evidence(now);
     }
 
+    const rollout_control &rollouts() const
+    {
+        return m_rollouts;
+    }
+
     const upstream_set &upstreams() const
     {
         return m_upstreams;
@@ -452,6 +487,9 @@
         phase state = phase::waiting;
         upstream_number upstream = noUpstreamNumber; // of the running attempt
         std::uint64_t prefillTokens = 0; // of the running attempt, as in its placement
+        duration expectedTime {0}; // to the answer of the running attempt, or to its first event
+        bool isVersionCounted = false; // the running attempt was counted for the version of its upstream
+        bool isCountedGood = false; // as a good answer
         bool awaitsFirstEvent = false; // the running attempt has no answer yet
         bool isPastStart = false; // the upstream of the running attempt has got past the beginning of its answer
         bool wasOverdue = false;
@@ -502,6 +540,10 @@
     void on(time_point now, const entry_event::limits_received &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::permit_requested &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::permit_answered &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::rollout_ordered &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::rollout_withdrawn &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::rollouts_verified &input, std::vector<effect> &effects);
+    void on(time_point now, const entry_event::rollout_status_answered &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::state_verified &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::drain_requested &input, std::vector<effect> &effects);
     void on(time_point now, const entry_event::tick &input, std::vector<effect> &effects);
@@ -516,6 +558,15 @@
     void recordSurvival(time_point now, const exchange &work, std::vector<effect> &effects);
     /// Checks an upstream that broke off an answer at its beginning: it may have crashed on the prompt. Call before the attempt ends.
     void checkUpstream(exchange &work, attempt_failure failure, std::vector<effect> &effects);
+    /// As upstream_set::choose(), among the versions that rollouts allow.
+    placement chooseAllowed(time_point now, placement_query &wanted, const exchange &work);
+    /// False if rollouts no longer allow an upstream that was chosen a moment ago.
+    bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const;
+    void noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice);
+    /// Counts the outcome of the running attempt for the version of its upstream, once.
+    void countVersionAnswer(time_point now, exchange &work, answer_quality quality);
+    void updateRollouts(time_point now, std::vector<effect> &effects);
+    static void append(const std::vector<rollout_control::effect> &decisions, std::vector<effect> &effects);
     /// Goes on with a request whose upstream was checked.
     void followCheck(time_point now, exchange_id id, exchange &work, bool isDown, std::vector<effect> &effects);
     std::vector<exchange_id> openIds() const;
@@ -559,6 +610,7 @@
     prompt_quarantine m_quarantine;
     std::unordered_map<std::uint64_t, exchange_id> m_trials; // by suspected part: the request that may be sent with it
     std::map<upstream_number, upstream_check> m_checks; // in progress
+    rollout_control m_rollouts;
     request_limits m_limits;
     std::uint64_t m_lastPermit = 0; // number of the last permit_request
     std::unordered_map<std::uint64_t, exchange_id> m_permits; // by number of the permit_request that is not answered
--- a/include/nutmegtally/load_update.h
+++ b/include/nutmegtally/load_update.h
@@ -3,6 +3,7 @@
 // sums. A lost update is replaced by the next one.
 #pragma once
 
+#include <nutmegtally/rollout.h>
 #include <nutmegtally/time.h>
 
 #include <array>
@@ -60,6 +61,7 @@
     std::vector<prompt_location> prompts {}; // since the last update
     std::vector<leaving_upstream> leaving {}; // repeated for some seconds, so that a lost update does not matter
     load_scope scope = load_scope::router;
+    std::vector<rollout_counts> rollouts {}; // of each order in force
 };
 
 } // namespace nutmegtally
--- a/include/nutmegtally/log_events.h
+++ b/include/nutmegtally/log_events.h
@@ -103,6 +103,12 @@
     messageForged = 1803,
     orderAccepted = 1901,
     orderRejected = 1902,
+    rolloutOrdered = 2001,
+    rolloutState = 2002,
+    rolloutVerdict = 2003,
+    rolloutStatusWritten = 2004,
+    rolloutUnserved = 2005,
+    rolloutUnreadable = 2006,
 };
 
 struct log_event_info {
@@ -229,6 +235,16 @@
     {log_event::orderAccepted, "order_accepted", log_level::info, "An order was sent to the engine."},
     {log_event::orderRejected, "order_rejected", log_level::warning,
      "An order was refused, for example because of an outdated fencing token."},
+    {log_event::rolloutOrdered, "rollout_ordered", log_level::info,
+     "An operator's order to move a service to another version is in force."},
+    {log_event::rolloutState, "rollout_state", log_level::info, "This router changed what it does with the versions of a service."},
+    {log_event::rolloutVerdict, "rollout_verdict", log_level::warning,
+     "A version was found bad, by its answers or by another router's verdict; it gets no more requests."},
+    {log_event::rolloutStatusWritten, "rollout_status_written", log_level::info,
+     "The object API answered this router's write of a rollout's status."},
+    {log_event::rolloutUnserved, "rollout_unserved", log_level::warning, "No upstream has the version that an order names."},
+    {log_event::rolloutUnreadable, "rollout_unreadable", log_level::warning,
+     "An order could not be read or has no valid ramp; it is ignored."},
 });
 
 /// Table entry of an event.
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -7,8 +7,10 @@
 #include <nutmegtally/mechanism.h>
 #include <nutmegtally/prefix_map.h>
 #include <nutmegtally/request_limits.h>
+#include <nutmegtally/rollout_control.h>
 #include <nutmegtally/time.h>
 #include <nutmegtally/traffic_rules.h>
+#include <nutmegtally/version_filter.h>
 
 #include <array>
 #include <cstdint>
@@ -38,6 +40,8 @@
     bool isLeaving = false; // finishes its requests and gets no new ones
     duration coldFor {0}; // remaining time of the cold start
     std::uint64_t incarnation = 0; // identifies a start of the process; a new one has empty caches and counters
+    std::string version {}; // of its software
+    store_revision listedAt {}; // revision at which this entry was last changed
 
     bool operator==(const upstream_record &) const = default;
 };
@@ -60,6 +64,7 @@
     std::uint64_t tieBreak = 0; // seed of the choice between upstreams with equal scores
     const std::vector<upstream_number> *tried = nullptr; // upstreams that are not chosen again
     const request_limits *limits = nullptr; // upstreams that are at their limits are not chosen
+    const version_filter *versions = nullptr; // null: upstreams of all versions are allowed
     permit_claim claim; // for permits of upstreams with limits
     bool avoidsLimits = false; // no upstream with a limit is chosen
     duration target {0}; // while others are at their limits, no engine is chosen that is expected to miss it
@@ -167,7 +172,7 @@
     explicit upstream_set(std::string ownDomain, mechanism_set mechanisms = {});
 
     /// Adds or updates an upstream from the platform's list. One that announced that it leaves stays leaving until its next incarnation.
-    /// @return True if anything but coldFor changed.
+    /// @return True if anything but coldFor and listedAt changed.
     bool upsert(upstream_record record, time_point now);
 
     /// Removes an upstream that is no longer listed.
@@ -200,7 +205,8 @@
 
     /// Sets whether this router is a leader, which relays prompts from the routers of its domain and from other domains' leaders.
     /// A change discards the counts of all load updates: sums contain requests that single updates counted before.
-    void setLeader(bool isLeader);
+    /// @return True if it changed.
+    bool setLeader(bool isLeader);
 
     /// Load update with the requests of this router.
     load_update ownLoad(time_point now) const;
@@ -287,6 +293,9 @@
         return m_routers.empty() ? 1 : m_routers.size();
     }
 
+    /// This router's requests at upstreams of a service of other versions than @p target, and all routers' at all of its upstreams.
+    version_load loadOfVersions(std::string_view service, std::string_view target, time_point now) const;
+
     /// Estimated number of requests at an upstream: this router's own, and those of others according to their load updates or
     /// the upstream's last report, whichever is higher.
     double estimatedLoad(const upstream_entry &upstream, time_point now) const;
--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -67,6 +67,8 @@
     std::function<time_point()> now;
     /// Sends a message about a permit to another router. Without other routers there are none.
     std::function<void(const entry_effect::send_permit_message &)> sendPermitMessage = [](const entry_effect::send_permit_message &) {};
+    /// Writes the status of a rollout to the object API; the result comes back as entry_event::rollout_status_answered.
+    std::function<void(const entry_effect::write_rollout_status &)> writeRolloutStatus = [](const entry_effect::write_rollout_status &) {};
 };
 
 template<request_codec Codec>
@@ -175,6 +177,7 @@
     void carryOut(const entry_effect::list_held_parts &listed);
     void carryOut(const entry_effect::check_upstream &check);
     void carryOut(const entry_effect::send_permit_message &sent);
+    void carryOut(const entry_effect::write_rollout_status &write);
     void carryOut(const entry_effect::refuse &refused);
     void carryOut(const entry_effect::cut_answer &answer);
     void carryOut(const exchange_report &report);
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -438,6 +438,12 @@
     m_observer.sendPermitMessage(sent);
 }
 
+template<request_codec Codec>
+void serving_core<Codec>::carryOut(const entry_effect::write_rollout_status &write)
+{
+    m_observer.writeRolloutStatus(write);
+}
+
 template<request_codec Codec>
 void serving_core<Codec>::carryOut(const exchange_report &report)
 {
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -94,6 +94,7 @@
     , m_upstreams(m_options.domain, m_options.mechanisms)
     , m_cacheRecovery(m_options.queriesCaches && m_options.mechanisms.has(mechanism::cacheQueries))
     , m_quarantine(hashText(m_options.name))
+    , m_rollouts(m_options.rollouts, m_options.name)
 {
     m_upstreams.setRouters(m_options.name, {});
     m_limits.setRouters(m_options.name, {});
@@ -122,15 +123,19 @@
 
 void entry_core::on(time_point now, const entry_event::upstream_listed &input, std::vector<effect> &effects)
 {
-    if (!m_upstreams.upsert(input.record, now)) {
+    const bool isChanged = m_upstreams.upsert(input.record, now);
+    const upstream_record &listed = m_upstreams.find(input.record.instance)->record;
+    m_rollouts.listUpstream(
+        {listed.instance, listed.service, listed.version, listed.domain, listed.slots, listed.isLeaving, listed.listedAt}, now);
+    if (!isChanged) {
         return;
     }
-    const upstream_record &listed = m_upstreams.find(input.record.instance)->record;
     log_line line;
     line.with("upstream", listed.instance)
         .with("service", listed.service)
         .with("address", listed.address)
         .with("domain", listed.domain)
+        .with("version", listed.version)
         .with("leaving", listed.isLeaving)
         .with("cold_ms", listed.coldFor);
     effects.push_back(record(listed.isLeaving ? log_event::upstreamLeaving : log_event::upstreamListed, line));
@@ -142,6 +147,7 @@
     m_upstreams.remove(input.instance, now, input.grace);
     if (input.grace.count() == 0) {
         m_limits.forget(limitedUpstreamOf(input.instance, 0).key);
+        m_rollouts.unlistUpstream(input.instance);
     }
     log_line line;
     line.with("upstream", input.instance).with("grace_ms", input.grace);
@@ -151,6 +157,7 @@
 void entry_core::on(time_point now, const entry_event::closures_changed &input, std::vector<effect> &effects)
 {
     m_upstreams.setClosedDomains({input.domains.begin(), input.domains.end()});
+    m_rollouts.setClosedDomains({input.domains.begin(), input.domains.end()});
     std::string names;
     for (const std::string &domain : input.domains) {
         names += (names.empty() ? "" : ",") + domain;
@@ -167,6 +174,7 @@
     m_upstreams.setRouters(m_options.name, input.live);
     m_quarantine.setRouters(hashesOf(input.live));
     m_limits.setRouters(m_options.name, input.live);
+    m_rollouts.setRouters(input.live);
     log_line line;
     line.with("live", m_upstreams.routers()).with("previous", before);
     effects.push_back(record(log_event::routersChanged, line));
@@ -175,7 +183,9 @@
 
 void entry_core::on(time_point, const entry_event::role_changed &input, std::vector<effect> &effects)
 {
-    m_upstreams.setLeader(input.isLeader);
+    if (m_upstreams.setLeader(input.isLeader)) {
+        m_rollouts.forgetUpdates();
+    }
     log_line line;
     line.with("lead", input.isLeader);
     effects.push_back(record(log_event::roleChanged, line));
@@ -248,7 +258,7 @@
     wanted.target = work.route->target;
     for (;;) {
         wanted.avoidsLimits = work.permitDenials >= limits::maxPermitDenials;
-        const placement choice = m_upstreams.choose(wanted, *work.rules, now);
+        const placement choice = chooseAllowed(now, wanted, work);
         work.lastPlacement = choice.outcome;
         work.pausedUntil = choice.pausedUntil;
         work.limitedPerSecond = choice.limitedPerSecond;
@@ -283,6 +293,7 @@
     work.isPastStart = false;
     work.wasOverdue = false;
     work.prefillTokens = choice.prefillTokens;
+    noteVersionStart(work, upstream, choice);
     m_upstreams.start(choice.upstream, parts, work.prefillTokens, work.request.promptTokens + work.request.outputTokens, now);
 
     entry_effect::start_attempt attempt;
@@ -401,6 +412,9 @@
 {
     m_upstreams.finish(work.upstream, work.prefillTokens, work.request.promptTokens + work.request.outputTokens, work.awaitsFirstEvent);
     m_upstreams.recordResult(work.upstream, result, now);
+    if (const upstream_entry *upstream = m_upstreams.find(work.upstream)) {
+        m_rollouts.recordEnd(work.service, upstream->record.version, now - work.sentAt, now);
+    }
     work.upstream = noUpstreamNumber;
     work.awaitsFirstEvent = false;
 }
@@ -453,6 +467,7 @@
     }
     if (work.isResume && !isSuccess) {
         effects.push_back(record(log_event::attemptFailed, line));
+        countVersionAnswer(now, work, answer_quality::bad);
         endAttempt(now, work, attempt_result::failed);
         cut(now, input.exchange, work, "resume_failed", effects);
         return;
@@ -460,6 +475,7 @@
     const bool isServerFault = answer.status >= 500 || answer.status == 429 || answer.status == 408 || answer.status == 421;
     if (isServerFault || (isSuccess && !answer.isSigned)) {
         effects.push_back(record(log_event::attemptFailed, line));
+        countVersionAnswer(now, work, answer_quality::bad);
         work.lastFailure = refusal_reason::upstreamFailed;
         work.mayHaveRun = refusal_reason::upstreamFailed;
         if (work.route->mayRepeat() && mayRetry(now, work, effects)) {
@@ -482,6 +498,7 @@
         effects.push_back(record(log_event::answerReceived, line));
         m_upstreams.markFirstEvent(work.upstream, work.prefillTokens);
         work.awaitsFirstEvent = false;
+        countVersionAnswer(now, work, answer_quality::good);
         m_upstreams.recordResult(work.upstream, attempt_result::succeeded, now);
     }
     work.state = phase::relaying;
@@ -500,6 +517,9 @@
     line.with("failure", nameOf(input.failure));
     effects.push_back(record(log_event::attemptFailed, line));
     const bool wasSent = input.failure != attempt_failure::unreachable;
+    if (wasSent) {
+        countVersionAnswer(now, work, input.failure == attempt_failure::damaged ? answer_quality::bad : answer_quality::broken);
+    }
     checkUpstream(work, input.failure, effects);
     endAttempt(now, work, wasSent ? attempt_result::lost : attempt_result::unreachable);
     work.state = phase::waiting;
@@ -531,6 +551,7 @@
     log_line line = attemptLogLine(now, work);
     addAnswerEnd(line, input.end);
     effects.push_back(record(log_event::streamBroken, line));
+    countVersionAnswer(now, work, input.failure == attempt_failure::damaged ? answer_quality::bad : answer_quality::broken);
     checkUpstream(work, input.failure, effects);
     endAttempt(now, work, attempt_result::lost);
     if (m_options.mechanisms.has(mechanism::streamResumption) && work.route->isResumable && mayRetry(now, work, effects)) {
@@ -599,55 +620,7 @@
 void entry_core::on(time_point now, const entry_event::load_update_received &input, std::vector<effect> &)
 {
     m_upstreams.applyUpdate(input.update, input.isCounted, now);
-}
-
-void entry_core::on(time_point now, const entry_event::prompt_locations_received &input, std::vector<effect> &)
-{
-    m_upstreams.addPromptLocations(input.prompts, now);
-}
-
-void entry_core::on(time_point now, const entry_event::held_parts_read &input, std::vector<effect> &effects)
-{
-    log_line line;
-    line.with("upstream", input.instance).with("parts", input.parts.size());
-    effects.push_back(record(log_event::heldPartsRead, line));
-    m_upstreams.addHeldParts(input.instance, input.parts, m_announcesHeldParts, now);
-    m_cacheRecovery.setAnswered(input.instance, now);
-    placeWaiting(now, effects);
-}
-
-void entry_core::on(time_point now, const entry_event::held_parts_unread &input, std::vector<effect> &effects)
-{
-    m_cacheRecovery.setAnswered(input.instance, now);
-    placeWaiting(now, effects);
-}
-
-void entry_core::queryCaches(time_point now, std::vector<effect> &effects)
-{
-    if (!m_rules || m_upstreams.size() == 0) {
-        return;
-    }
-    m_cacheRecovery.begin(now);
-    if (!m_cacheRecovery.isQueryDue(now)) {
-        return;
-    }
-    const upstream_set::cache_query query = m_upstreams.enginesToQuery(*m_rules);
-    m_announcesHeldParts = !query.asksAll;
-    std::vector<std::string> instances;
-    for (const upstream_record &engine : query.engines) {
-        if (m_limits.limitOf(limitedUpstreamOf(engine.instance, engine.incarnation))) {
-            continue; // a list is a request, too
-        }
-        effects.push_back(entry_effect::list_held_parts {engine.instance, engine.address});
-        instances.push_back(engine.instance);
-    }
-    m_cacheRecovery.setQueried(instances, query.asksAll, now);
-}
-
-bool entry_core::awaitsCacheState(time_point now, const exchange &work) const
-{
-    return work.route->carriesPrompt && work.sends == 0 && !m_cacheRecovery.isOver(now)
-           && now - work.arrivedAt < scaled(work.route->target, limits::cacheWaitTargetShare);
+    m_rollouts.applyUpdate(input.update, input.isCounted, now);
 }
 
 void entry_core::detectPause(time_point now, std::vector<effect> &effects)
@@ -679,6 +652,7 @@
 void entry_core::on(time_point now, const entry_event::tick &, std::vector<effect> &effects)
 {
     for (const std::string &instance : m_upstreams.expire(now)) {
+        m_rollouts.unlistUpstream(instance);
         log_line line;
         line.with("upstream", instance).with("grace_ms", 0);
         effects.push_back(record(log_event::upstreamUnlisted, line));
@@ -687,6 +661,7 @@
     logQuarantine(effects);
     std::erase_if(m_trials, [this](const auto &trial) { return !m_exchanges.contains(trial.second); });
     queryCaches(now, effects);
+    updateRollouts(now, effects);
     placeWaiting(now, effects);
     for (const exchange_id id : openIds()) {
         const auto found = m_exchanges.find(id);
@@ -724,6 +699,7 @@
     if (now >= work.timeoutAt) {
         effects.push_back(entry_effect::stop_attempt {id});
         const bool relaying = work.state == phase::relaying;
+        countVersionAnswer(now, work, answer_quality::bad);
         endAttempt(now, work, relaying ? attempt_result::unknown : attempt_result::overdue);
         if (relaying) {
             cut(now, id, work, "timeout", effects);
@@ -743,6 +719,7 @@
     work.wasOverdue = true;
     log_line line = attemptLogLine(now, work);
     effects.push_back(record(log_event::attemptOverdue, line));
+    countVersionAnswer(now, work, answer_quality::bad);
     const bool mayResend = m_options.mechanisms.has(mechanism::overdueResend) && work.route->mayRepeat();
     if (!mayResend || !mayRetry(now, work, effects)) {
         m_upstreams.recordResult(work.upstream, attempt_result::overdue, now);
--- a/src/entry_core_limits.cpp
+++ b/src/entry_core_limits.cpp
@@ -67,7 +67,7 @@
     const exchange_id id = asked->second;
     exchange &work = m_exchanges.at(id);
     const placement choice = work.permit->choice;
-    if (input.answer.isGranted && m_upstreams.mayReceive(choice.upstream, now)) {
+    if (input.answer.isGranted && m_upstreams.mayReceive(choice.upstream, now) && mayUseVersion(now, work, choice.upstream)) {
         m_permits.erase(asked);
         work.permit.reset();
         startAttempt(now, id, work, choice, effects);
--- /dev/null
+++ b/src/entry_core_rollouts.cpp
@@ -0,0 +1,114 @@
+// The part of entry_core that carries out rollouts: the versions that a request may use, the counts by which versions are judged, and
+// the status of orders.
+#include "limits.h"
+
+#include <nutmegtally/entry_core.h>
+#include <nutmegtally/ids.h>
+
+#include <algorithm>
+
+namespace nutmegtally
+{
+
+placement entry_core::chooseAllowed(time_point now, placement_query &wanted, const exchange &work)
+{
+    const version_filters filters = m_rollouts.filtersFor(work.service, now);
+    placement choice;
+    for (std::size_t i = 0; i < std::max<std::size_t>(1, filters.size()); ++i) {
+        wanted.versions = filters.empty() ? nullptr : &filters[i];
+        choice = m_upstreams.choose(wanted, *work.rules, now);
+        const bool hasNone = choice.outcome == placement_outcome::noneListed || choice.outcome == placement_outcome::allTried;
+        const bool isNextDue = hasNone || (choice.outcome != placement_outcome::chosen && !filters.empty() && filters[i].yieldsWhenFull);
+        if (!isNextDue) {
+            break;
+        }
+    }
+    wanted.versions = nullptr;
+    return choice;
+}
+
+bool entry_core::mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const
+{
+    const upstream_entry *state = m_upstreams.find(upstream);
+    const version_filters filters = m_rollouts.filtersFor(work.service, now);
+    return state != nullptr && (filters.empty() || std::any_of(filters.begin(), filters.end(), [state](const version_filter &each) {
+                                    return each.allows(state->record.version, state->hash);
+                                }));
+}
+
+void entry_core::noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice)
+{
+    work.isVersionCounted = false;
+    work.isCountedGood = false;
+    const std::chrono::duration<double, std::milli> predicted(limits::expectedTimeFloorMs + std::max(0.0, choice.score));
+    work.expectedTime = work.route->carriesPrompt ? std::chrono::duration_cast<duration>(predicted) : work.route->target;
+    m_rollouts.recordStart(work.service, upstream.record.version);
+}
+
+void entry_core::countVersionAnswer(time_point now, exchange &work, answer_quality quality)
+{
+    const upstream_entry *upstream = m_upstreams.find(work.upstream);
+    const bool isLateBreak = work.isCountedGood && quality != answer_quality::good;
+    if (upstream == nullptr || (work.isVersionCounted && !isLateBreak)) {
+        return;
+    }
+    std::optional<double> slowness;
+    if (now >= upstream->coldUntil && work.expectedTime.count() > 0 && m_rollouts.countsTimes(upstream->record.instance, now)) {
+        slowness = static_cast<double>((now - work.sentAt).count()) / static_cast<double>(work.expectedTime.count());
+    }
+    m_rollouts.recordAnswer(work.service, upstream->record.version, upstream->hash, work.route->name, quality, slowness, isLateBreak, now);
+    work.isVersionCounted = true;
+    work.isCountedGood = quality == answer_quality::good;
+}
+
+void entry_core::append(const std::vector<rollout_control::effect> &decisions, std::vector<effect> &effects)
+{
+    for (const rollout_control::effect &decision : decisions) {
+        if (const auto *write = std::get_if<rollout_effect::write_status>(&decision)) {
+            effects.push_back(entry_effect::write_rollout_status {write->order, write->status});
+        } else {
+            effects.push_back(std::get<log_record>(decision));
+        }
+    }
+}
+
+void entry_core::updateRollouts(time_point now, std::vector<effect> &effects)
+{
+    std::map<std::string, version_load> loads;
+    for (const rollout_report &rollout : m_rollouts.reports(now)) {
+        loads[rollout.service] = m_upstreams.loadOfVersions(rollout.service, rollout.target, now);
+    }
+    std::vector<rollout_control::effect> decisions;
+    m_rollouts.tick(now, loads, decisions);
+    append(decisions, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::rollout_ordered &input, std::vector<effect> &effects)
+{
+    std::vector<rollout_control::effect> decisions;
+    m_rollouts.takeOrder(input.order, now, decisions);
+    append(decisions, effects);
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point now, const entry_event::rollout_withdrawn &input, std::vector<effect> &effects)
+{
+    std::vector<rollout_control::effect> decisions;
+    m_rollouts.withdraw(input.service, decisions);
+    append(decisions, effects);
+    placeWaiting(now, effects);
+}
+
+void entry_core::on(time_point, const entry_event::rollouts_verified &input, std::vector<effect> &)
+{
+    m_rollouts.verify(input.asOf);
+}
+
+void entry_core::on(time_point now, const entry_event::rollout_status_answered &input, std::vector<effect> &effects)
+{
+    std::vector<rollout_control::effect> decisions;
+    m_rollouts.takeWriteResult(input.service, input.result, now, decisions);
+    append(decisions, effects);
+}
+
+} // namespace nutmegtally
--- a/src/limits.h
+++ b/src/limits.h
@@ -235,4 +235,31 @@
 inline constexpr duration recentlySeenTime = 1500ms; // a router seen within this time is reported as live
 inline constexpr duration routerLifetime = 15s; // since a router was last seen; it keeps its part of shared limits for this long
 
+// Rollouts of a new version.
+inline constexpr duration rolloutWindow = 5s; // in which answers of the two versions are compared, beside all since the order
+inline constexpr duration rolloutSampleInterval = 250ms; // between two stored sums of the window
+inline constexpr std::uint32_t minRolloutBadAnswers = 6; // of the new version, for a verdict; the bound on bad answers is 50
+inline constexpr double minRolloutShareDifference = 0.1; // of bad or slow answers, above the base version's share
+inline constexpr double rolloutVerdictZ = 4; // the counts are tested several times a second, so chance would exceed a smaller value
+inline constexpr double rolloutSuspicionZ = 3; // a version this much worse is not found good yet
+inline constexpr std::uint32_t minRolloutAnswers = 20; // of a version that is found good
+inline constexpr std::uint32_t minRolloutRouteAnswers = 3; // of it on each route with minRolloutBaseAnswers
+inline constexpr std::uint32_t minRolloutBaseAnswers = 20; // of the base version in a window; with fewer, all since the order count
+inline constexpr double slowAnswerFactor = 2.5; // of the base version's usual time on the route
+inline constexpr std::uint32_t minUsualTimeAnswers = 12; // of the base version on a route, for its usual time
+inline constexpr duration brokenAnswersInterval = 500ms; // answers of one upstream that break within it count once: a crash breaks many
+inline constexpr duration startSlowTime = 3s; // after it is listed, an upstream's times do not count
+inline constexpr double expectedTimeFloorMs = 20; // added to the predicted delay of an engine
+inline constexpr double trialQuotaShare = 0.8; // of the fleet's share that routers use; their counts and the platform's do not coincide
+inline constexpr double trialSlackShare = 0.3; // of the fleet's slack, divided among the routers; some may restart in the trial
+inline constexpr duration unknownVersionHold = 2s; // of upstreams of a new version until the orders are known; a list takes less
+inline constexpr double minTrialTime = 0.4; // of the ramp, before all requests go to the new version
+inline constexpr duration completionMargin = 1500ms; // for the status to reach all routers, and their counts to come back
+inline constexpr duration rolloutTurnDelay = 400ms; // between two routers that may write a status; a write takes less
+inline constexpr std::size_t maxRolloutTurns = 8;
+inline constexpr duration rolloutRewriteDelay = 1s; // after a write without an answer, or a refused one
+inline constexpr duration completionHold = 400ms; // without requests at base upstreams; covers two load updates
+inline constexpr duration longestAnswerTime = 10s; // that the longest time at a base upstream is remembered, at least
+inline constexpr duration unlistedTargetDelay = 2s; // until an order for a version without upstreams is logged
+
 } // namespace nutmegtally::limits
--- /dev/null
+++ b/src/rollout_control.cpp
@@ -0,0 +1,697 @@
+#include "limits.h"
+
+#include <nutmegtally/ids.h>
+#include <nutmegtally/log_line.h>
+#include <nutmegtally/rollout_control.h>
+#include <nutmegtally/router_rank.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegtally
+{
+
+namespace
+{
+
+std::uint32_t shortHash(std::string_view text)
+{
+    return static_cast<std::uint32_t>(hashText(text) >> 32);
+}
+
+std::uint32_t orderKey(const rollout_order &order)
+{
+    return static_cast<std::uint32_t>(order.id >> 32);
+}
+
+duration scaled(duration span, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
+log_line rolloutLine(const rollout_order &order)
+{
+    log_line line;
+    line.with("service", order.service).with("target", order.target).with("order", toHex(order.id));
+    return line;
+}
+
+version_counts &countsOf(route_counts &route, version_class version)
+{
+    return version == version_class::target ? route.target : route.base;
+}
+
+route_counts &routeIn(std::vector<route_counts> &routes, std::uint32_t route)
+{
+    const auto found = std::find_if(routes.begin(), routes.end(), [route](const route_counts &each) { return each.route == route; });
+    if (found != routes.end()) {
+        return *found;
+    }
+    routes.push_back({route, {}, {}});
+    return routes.back();
+}
+
+/// Adds another router's or domain's counts of the same order.
+void add(rollout_counts &sum, const rollout_counts &more)
+{
+    sum.age = std::max(sum.age, more.age);
+    sum.fault = sum.fault == rollout_fault::none ? more.fault : sum.fault;
+    sum.longestBaseAnswer = std::max(sum.longestBaseAnswer, more.longestBaseAnswer);
+    addRouteCounts(sum.routes, more.routes);
+}
+
+bool isFinal(rollout_status status)
+{
+    return status == rollout_status::completed || status == rollout_status::rolledBack;
+}
+
+bool isOpen(rollout_state state)
+{
+    return state == rollout_state::trial || state == rollout_state::suspected || state == rollout_state::shift;
+}
+
+version_filter only(const std::string &version)
+{
+    version_filter filter;
+    filter.versions.push_back(version);
+    return filter;
+}
+
+version_filter except(const std::string &version)
+{
+    version_filter filter = only(version);
+    filter.excludes = true;
+    return filter;
+}
+
+version_filter any()
+{
+    version_filter filter;
+    filter.excludes = true;
+    return filter;
+}
+
+} // namespace
+
+rollout_control::rollout_control(std::optional<rollout_bounds> bounds, std::string self)
+    : m_bounds(bounds)
+    , m_selfHash(hashText(self))
+{
+}
+
+void rollout_control::setRouters(const std::vector<std::string> &live)
+{
+    m_routerHashes = hashesOf(live);
+}
+
+std::size_t rollout_control::routers() const
+{
+    const bool isListed = std::find(m_routerHashes.begin(), m_routerHashes.end(), m_selfHash) != m_routerHashes.end();
+    return m_routerHashes.size() + (isListed ? 0 : 1);
+}
+
+void rollout_control::setClosedDomains(std::unordered_set<std::string> domains)
+{
+    m_closedDomains = std::move(domains);
+}
+
+void rollout_control::listUpstream(versioned_upstream upstream, time_point now)
+{
+    if (!m_bounds) {
+        return;
+    }
+    const auto known = m_upstreams.find(upstream.instance);
+    const bool isSame = known != m_upstreams.end() && known->second.upstream.service == upstream.service
+                        && known->second.upstream.version == upstream.version;
+    const time_point seenAt = isSame ? known->second.seenAt : now;
+    const store_revision listedAt = isSame ? known->second.upstream.listedAt : upstream.listedAt;
+    unlistUpstream(upstream.instance);
+    known_version &version = m_versions[upstream.service].try_emplace(upstream.version, known_version {0, seenAt, listedAt}).first->second;
+    version.upstreams += upstream.isLeaving ? 0 : 1;
+    const std::uint64_t hash = hashText(upstream.instance);
+    std::string instance = upstream.instance;
+    upstream.listedAt = listedAt;
+    m_upstreams.insert_or_assign(std::move(instance), known_upstream {std::move(upstream), hash, seenAt});
+}
+
+void rollout_control::unlistUpstream(const std::string &instance)
+{
+    const auto known = m_upstreams.find(instance);
+    if (known == m_upstreams.end()) {
+        return;
+    }
+    const versioned_upstream &upstream = known->second.upstream;
+    // The version stays known without upstreams: one that served before is not new when its upstreams come back.
+    known_version &version = m_versions[upstream.service][upstream.version];
+    version.upstreams -= upstream.isLeaving || version.upstreams == 0 ? 0 : 1;
+    m_upstreams.erase(known);
+}
+
+const std::map<std::string, rollout_control::known_version> &rollout_control::versionsOf(const std::string &service) const
+{
+    static const std::map<std::string, known_version> none;
+    const auto found = m_versions.find(service);
+    return found == m_versions.end() ? none : found->second;
+}
+
+std::string rollout_control::baseVersion(const service_rollout &rollout) const
+{
+    std::string base;
+    std::size_t most = 0;
+    for (const auto &[version, known] : versionsOf(rollout.order.service)) {
+        if (version != rollout.order.target && known.upstreams > most) {
+            most = known.upstreams;
+            base = version;
+        }
+    }
+    return base;
+}
+
+bool rollout_control::hasBase(const service_rollout &rollout) const
+{
+    const std::map<std::string, known_version> &versions = versionsOf(rollout.order.service);
+    return std::any_of(versions.begin(), versions.end(),
+                       [&](const auto &each) { return each.first != rollout.order.target && each.second.upstreams > 0; });
+}
+
+void rollout_control::takeOrder(const rollout_order &order, time_point now, std::vector<effect> &effects)
+{
+    if (!m_bounds) {
+        return;
+    }
+    const auto [entry, isNew] = m_rollouts.try_emplace(order.service);
+    service_rollout &rollout = entry->second;
+    if (isNew || rollout.order.id != order.id) {
+        rollout = service_rollout();
+        rollout.order = order;
+        rollout.orderedAt = now;
+        rollout.longestSince = now;
+        rollout.hasSlack = m_verifiedAt != store_revision();
+        rollout.hadBase = hasBase(rollout);
+        log_line line = rolloutLine(order);
+        line.with("ramp_ms", order.ramp).with("status", nameOf(order.status)).with("has_slack", rollout.hasSlack);
+        effects.push_back(log_record {log_event::rolloutOrdered, line.take()});
+    } else {
+        rollout.order = order; // a final state stays in force if the store lost it, and is written again
+    }
+    adoptStatus(rollout, effects);
+}
+
+void rollout_control::adoptStatus(service_rollout &rollout, std::vector<effect> &effects)
+{
+    switch (rollout.order.status) {
+    case rollout_status::completed:
+        setState(rollout, rollout_state::completed, effects);
+        break;
+    case rollout_status::rolledBack:
+        setState(rollout, rollout_state::rolledBack, effects);
+        break;
+    case rollout_status::shift:
+        if (isOpen(rollout.state) && rollout.state != rollout_state::suspected) {
+            setState(rollout, rollout_state::shift, effects);
+        }
+        break;
+    default:
+        if (rollout.state == rollout_state::withdrawn) {
+            setState(rollout, rollout_state::trial, effects);
+        }
+        break;
+    }
+}
+
+void rollout_control::setState(service_rollout &rollout, rollout_state state, std::vector<effect> &effects)
+{
+    if (rollout.state == state) {
+        return;
+    }
+    log_line line = rolloutLine(rollout.order);
+    line.with("state", nameOf(state)).with("previous", nameOf(rollout.state)).with("fault", nameOf(rollout.fault));
+    line.with("starts", rollout.starts).with("target_starts", rollout.targetStarts);
+    rollout.state = state;
+    effects.push_back(log_record {log_event::rolloutState, line.take()});
+}
+
+void rollout_control::withdraw(const std::string &service, std::vector<effect> &effects)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end()) {
+        return;
+    }
+    if (found->second.state == rollout_state::completed) {
+        m_rollouts.erase(found); // the versions that are left may all serve
+        return;
+    }
+    found->second.wishesSince.reset();
+    if (found->second.state != rollout_state::rolledBack) {
+        setState(found->second, rollout_state::withdrawn, effects);
+    }
+}
+
+void rollout_control::verify(store_revision asOf)
+{
+    m_verifiedAt = std::max(m_verifiedAt, asOf);
+}
+
+void rollout_control::takeWriteResult(const std::string &service, rollout_write_result result, time_point now, std::vector<effect> &effects)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end()) {
+        return;
+    }
+    service_rollout &rollout = found->second;
+    log_line line = rolloutLine(rollout.order);
+    line.with("status", nameOf(rollout.wish)).with("result", nameOf(result));
+    effects.push_back(log_record {log_event::rolloutStatusWritten, line.take()});
+    // The new state comes with the object, from a watch or another router.
+    rollout.nextWriteAt = now + limits::rolloutRewriteDelay;
+}
+
+bool rollout_control::hasQuota(const service_rollout &rollout) const
+{
+    const double share = limits::trialQuotaShare * m_bounds->trialShare;
+    const double slack = rollout.hasSlack ? limits::trialSlackShare * m_bounds->trialSlack / static_cast<double>(routers()) : 0;
+    return static_cast<double>(rollout.targetStarts + 1) <= share * static_cast<double>(rollout.starts + 1) + slack;
+}
+
+std::vector<std::uint64_t> rollout_control::trialUpstreams(const service_rollout &rollout, const std::string &base) const
+{
+    struct ranked {
+        std::uint64_t rank;
+        std::uint64_t hash;
+    };
+    std::vector<ranked> targets;
+    std::size_t bases = 0;
+    for (const auto &[instance, known] : m_upstreams) {
+        const versioned_upstream &upstream = known.upstream;
+        if (upstream.service != rollout.order.service || upstream.isLeaving || m_closedDomains.contains(upstream.domain)) {
+            continue;
+        }
+        if (upstream.version == rollout.order.target) {
+            targets.push_back({mixHash(rollout.order.id, known.hash), known.hash});
+        } else if (upstream.version == base) {
+            ++bases;
+        }
+    }
+    std::sort(targets.begin(), targets.end(), [](const ranked &a, const ranked &b) { return a.rank < b.rank; });
+    const auto count = static_cast<std::size_t>(std::lround(m_bounds->trialShare * static_cast<double>(bases)));
+    targets.resize(std::min(targets.size(), std::max<std::size_t>(1, count)));
+    std::vector<std::uint64_t> hashes;
+    std::transform(targets.begin(), targets.end(), std::back_inserter(hashes), [](const ranked &each) { return each.hash; });
+    return hashes;
+}
+
+version_filters rollout_control::filtersFor(const std::string &service, time_point now) const
+{
+    version_filters filters;
+    const std::map<std::string, known_version> &versions = versionsOf(service);
+    if (!m_bounds || versions.empty()) {
+        return filters;
+    }
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end()) {
+        // An order may exist that this router does not know yet. The version of most upstreams serves in any case.
+        version_filter familiar;
+        std::string most;
+        std::size_t count = 0;
+        for (const auto &[version, known] : versions) {
+            if (known.upstreams > count) {
+                count = known.upstreams;
+                most = version;
+            }
+            const bool isVerified = m_verifiedAt != store_revision() && m_verifiedAt >= known.listedAt;
+            if (isVerified || now - known.seenAt >= limits::unknownVersionHold) {
+                familiar.versions.push_back(version);
+            }
+        }
+        if (familiar.versions.size() < versions.size()) {
+            familiar.versions.push_back(most);
+            filters.push_back(std::move(familiar));
+            filters.push_back(any());
+        }
+        return filters;
+    }
+    const service_rollout &rollout = found->second;
+    const std::string &target = rollout.order.target;
+    const std::string base = baseVersion(rollout);
+    switch (rollout.state) {
+    case rollout_state::trial:
+        if (!rollout.hadBase) {
+            filters.push_back(any());
+            break;
+        }
+        if (hasQuota(rollout)) {
+            version_filter trial = only(target);
+            trial.instances = trialUpstreams(rollout, base);
+            trial.yieldsWhenFull = true;
+            if (!trial.instances.empty()) {
+                filters.push_back(std::move(trial));
+            }
+        }
+        filters.push_back(only(base));
+        filters.push_back(except(target));
+        break;
+    case rollout_state::shift:
+        filters.push_back(only(target));
+        filters.push_back(only(base));
+        break;
+    case rollout_state::completed:
+        filters.push_back(only(target));
+        break;
+    case rollout_state::withdrawn:
+        filters.push_back(only(base));
+        filters.push_back(except(target));
+        filters.push_back(only(target));
+        break;
+    default:
+        filters.push_back(only(base));
+        filters.push_back(except(target));
+        break;
+    }
+    return filters;
+}
+
+version_class rollout_control::classOf(const std::string &service, std::string_view version) const
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end()) {
+        return version_class::other;
+    }
+    if (version == found->second.order.target) {
+        return version_class::target;
+    }
+    return version == baseVersion(found->second) ? version_class::base : version_class::other;
+}
+
+void rollout_control::recordStart(const std::string &service, std::string_view version)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end()) {
+        return;
+    }
+    ++found->second.starts;
+    found->second.targetStarts += version == found->second.order.target ? 1 : 0;
+}
+
+void rollout_control::recordAnswer(const std::string &service, std::string_view version, std::uint64_t upstream, std::string_view route,
+                                   answer_quality quality, std::optional<double> slowness, bool wasGood, time_point now)
+{
+    const auto found = m_rollouts.find(service);
+    const version_class which = classOf(service, version);
+    if (found == m_rollouts.end() || which == version_class::other || !isOpen(found->second.state)) {
+        return;
+    }
+    service_rollout &rollout = found->second;
+    if (quality == answer_quality::broken) {
+        const auto [last, isFirst] = rollout.lastBreaks.try_emplace(upstream, now);
+        if (!isFirst && now - last->second < limits::brokenAnswersInterval) {
+            return;
+        }
+        last->second = now;
+    }
+    const std::uint32_t key = shortHash(route);
+    version_counts &counts = countsOf(routeIn(rollout.counts, key), which);
+    counts.answers += wasGood ? 0 : 1;
+    if (quality != answer_quality::good) {
+        ++counts.bad;
+        return;
+    }
+    if (!slowness || *slowness <= 0) {
+        return;
+    }
+    // The usual time is that of the base version on this route, over all routers.
+    version_counts usual;
+    for (const route_counts &each : sumOf(rollout, load_scope::fleet, now).routes) {
+        usual = each.route == key ? each.base : usual;
+    }
+    const double logSlowness = std::log(*slowness);
+    const bool hasUsual = usual.timed >= limits::minUsualTimeAnswers;
+    if (which == version_class::target && !hasUsual) {
+        return;
+    }
+    ++counts.timed;
+    counts.logSlowness += logSlowness;
+    counts.slow += hasUsual && logSlowness > usual.logSlowness / usual.timed + std::log(limits::slowAnswerFactor) ? 1 : 0;
+}
+
+void rollout_control::recordEnd(const std::string &service, std::string_view version, duration took, time_point now)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end() || version == found->second.order.target) {
+        return;
+    }
+    service_rollout &rollout = found->second;
+    if (now - rollout.longestSince >= limits::longestAnswerTime) {
+        rollout.longestBaseAnswers = {duration(0), rollout.longestBaseAnswers[0]};
+        rollout.longestSince = now;
+    }
+    rollout.longestBaseAnswers[0] = std::max(rollout.longestBaseAnswers[0], took);
+}
+
+bool rollout_control::countsTimes(const std::string &instance, time_point now) const
+{
+    const auto known = m_upstreams.find(instance);
+    return known != m_upstreams.end() && now - known->second.seenAt >= limits::startSlowTime;
+}
+
+duration rollout_control::ageOf(const service_rollout &rollout, time_point now)
+{
+    return now - rollout.orderedAt;
+}
+
+duration rollout_control::longestBaseAnswer(const service_rollout &rollout)
+{
+    return std::max(rollout.longestBaseAnswers[0], rollout.longestBaseAnswers[1]);
+}
+
+rollout_counts rollout_control::own(const service_rollout &rollout, time_point now) const
+{
+    rollout_counts counts;
+    counts.service = shortHash(rollout.order.service);
+    counts.order = orderKey(rollout.order);
+    counts.age = ageOf(rollout, now);
+    counts.fault = rollout.fault;
+    counts.routersShifted = rollout.state == rollout_state::shift ? 1 : 0;
+    counts.baseInFlight = rollout.baseInFlight;
+    counts.longestBaseAnswer = longestBaseAnswer(rollout);
+    counts.routes = rollout.counts;
+    return counts;
+}
+
+rollout_counts rollout_control::sumOf(const service_rollout &rollout, load_scope scope, time_point now) const
+{
+    rollout_counts sum = own(rollout, now);
+    for (const auto &[source, peer] : rollout.fromPeers) {
+        if (peer.scope != load_scope::router && scope != load_scope::fleet) {
+            continue;
+        }
+        add(sum, peer.counts);
+        // Routers that have ended are not waited for, and have no requests.
+        if (now - peer.receivedAt < limits::loadUpdateLifetime) {
+            sum.routersShifted += peer.counts.routersShifted;
+            sum.baseInFlight += peer.counts.baseInFlight;
+        }
+    }
+    return sum;
+}
+
+duration rollout_control::shiftAge(const service_rollout &rollout, const rollout_counts &sums) const
+{
+    const duration latest = rollout.order.ramp - sums.longestBaseAnswer - limits::completionMargin;
+    return std::max(latest, scaled(rollout.order.ramp, limits::minTrialTime));
+}
+
+rollout_status rollout_control::wishFor(service_rollout &rollout, const rollout_counts &sums, time_point now) const
+{
+    if (rollout.state == rollout_state::withdrawn) {
+        return rollout_status::none;
+    }
+    if (rollout.state == rollout_state::completed) {
+        return rollout_status::completed; // as long as the object does not say so
+    }
+    if (rollout.fault != rollout_fault::none || rollout.state == rollout_state::rolledBack) {
+        return rollout_status::rolledBack;
+    }
+    if (rollout.order.status == rollout_status::none) {
+        return rollout_status::trial;
+    }
+    if (rollout.state == rollout_state::trial) {
+        std::uint32_t bad = 0;
+        for (const route_counts &each : sums.routes) {
+            bad += each.target.bad;
+        }
+        unsigned slots = 0;
+        for (const auto &[instance, known] : m_upstreams) {
+            const versioned_upstream &upstream = known.upstream;
+            const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
+                                && !m_closedDomains.contains(upstream.domain);
+            slots += counts ? upstream.slots : 0;
+        }
+        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious);
+        const bool isDue = ageOf(rollout, now) >= shiftAge(rollout, sums);
+        const bool hasRoom = slots > 0 && slots >= rollout.inFlight;
+        return isFound && isDue && hasRoom ? rollout_status::shift : rollout_status::none;
+    }
+    const bool isIdle = rollout.state == rollout_state::shift && sums.routersShifted >= routers() && sums.baseInFlight == 0;
+    if (!isIdle) {
+        rollout.idleSince.reset();
+        return rollout_status::none;
+    }
+    rollout.idleSince = rollout.idleSince.value_or(now);
+    return now - *rollout.idleSince >= limits::completionHold ? rollout_status::completed : rollout_status::none;
+}
+
+void rollout_control::writeWhenDue(service_rollout &rollout, time_point now, std::vector<effect> &effects)
+{
+    if (rollout.wish == rollout_status::none) {
+        rollout.wishesSince.reset();
+        return;
+    }
+    rollout.wishesSince = rollout.wishesSince.value_or(now);
+    const std::size_t turn = std::min(rankAmong(m_selfHash, m_routerHashes, mixHash(rollout.order.id, 1)), limits::maxRolloutTurns);
+    const duration delay = limits::rolloutTurnDelay * static_cast<duration::rep>(turn);
+    if (now < *rollout.wishesSince + delay || now < rollout.nextWriteAt) {
+        return;
+    }
+    rollout.nextWriteAt = now + limits::rolloutRewriteDelay;
+    effects.push_back(rollout_effect::write_status {rollout.order, rollout.wish});
+}
+
+void rollout_control::logVerdict(const service_rollout &rollout, std::vector<effect> &effects) const
+{
+    const rollout_verdict &verdict = rollout.verdict;
+    log_line line = rolloutLine(rollout.order);
+    line.with("fault", nameOf(rollout.fault))
+        .with("told", verdict.fault == rollout_fault::none)
+        .with("route", toHex(verdict.route))
+        .with("target_answers", verdict.target.answers)
+        .with("target_bad", verdict.target.bad)
+        .with("target_slow", verdict.target.slow)
+        .with("base_answers", verdict.base.answers)
+        .with("base_bad", verdict.base.bad)
+        .with("base_slow", verdict.base.slow);
+    effects.push_back(log_record {log_event::rolloutVerdict, line.take()});
+}
+
+void rollout_control::tick(time_point now, const std::map<std::string, version_load> &loads, std::vector<effect> &effects)
+{
+    for (auto &[service, rollout] : m_rollouts) {
+        if (const auto load = loads.find(service); load != loads.end()) {
+            rollout.baseInFlight = load->second.base;
+            rollout.inFlight = load->second.all;
+        }
+        const rollout_counts sums = sumOf(rollout, load_scope::fleet, now);
+        if (isOpen(rollout.state)) {
+            rollout.judge.record(now, sums.routes);
+            rollout.verdict = rollout.judge.verdict();
+            const rollout_fault found = rollout.verdict.fault != rollout_fault::none ? rollout.verdict.fault : sums.fault;
+            if (rollout.fault == rollout_fault::none && found != rollout_fault::none) {
+                rollout.fault = found;
+                logVerdict(rollout, effects);
+            }
+            if (rollout.fault != rollout_fault::none) {
+                setState(rollout, rollout_state::suspected, effects);
+            }
+            rollout.hadBase = rollout.hadBase || hasBase(rollout);
+            const auto &versions = versionsOf(service);
+            const auto target = versions.find(rollout.order.target);
+            const bool isServed = target != versions.end() && target->second.upstreams > 0;
+            if (!isServed && !rollout.isUnservedLogged && ageOf(rollout, now) >= limits::unlistedTargetDelay) {
+                rollout.isUnservedLogged = true;
+                log_line line = rolloutLine(rollout.order);
+                effects.push_back(log_record {log_event::rolloutUnserved, line.take()});
+            }
+        }
+        const rollout_status wish = wishFor(rollout, sums, now);
+        const bool isWritten = wish == rollout.order.status;
+        if (wish != rollout.wish) {
+            rollout.wishesSince.reset();
+        }
+        rollout.wish = isWritten ? rollout_status::none : wish;
+        writeWhenDue(rollout, now, effects);
+    }
+}
+
+void rollout_control::applyUpdate(const load_update &update, bool isCounted, time_point now)
+{
+    for (auto &[service, rollout] : m_rollouts) {
+        const std::uint32_t key = shortHash(service);
+        const auto found = std::find_if(update.rollouts.begin(), update.rollouts.end(), [&](const rollout_counts &each) {
+            return each.service == key && each.order == orderKey(rollout.order);
+        });
+        if (found == update.rollouts.end()) {
+            continue;
+        }
+        rollout.orderedAt = std::min(rollout.orderedAt, now - found->age);
+        if (rollout.fault == rollout_fault::none && isOpen(rollout.state)) {
+            rollout.fault = found->fault;
+        }
+        if (isCounted) {
+            rollout.fromPeers[update.source] = {update.scope, *found, now};
+        }
+    }
+}
+
+void rollout_control::forgetUpdates()
+{
+    for (auto &[service, rollout] : m_rollouts) {
+        rollout.fromPeers.clear();
+    }
+}
+
+std::vector<rollout_counts> rollout_control::ownCounts(time_point now) const
+{
+    std::vector<rollout_counts> counts;
+    for (const auto &[service, rollout] : m_rollouts) {
+        counts.push_back(own(rollout, now));
+    }
+    return counts;
+}
+
+std::vector<rollout_counts> rollout_control::sumOfCounts(load_scope scope, time_point now) const
+{
+    std::vector<rollout_counts> counts;
+    for (const auto &[service, rollout] : m_rollouts) {
+        counts.push_back(sumOf(rollout, scope, now));
+    }
+    return counts;
+}
+
+std::vector<rollout_counts> rollout_control::excludingRouter(std::vector<rollout_counts> sums, const std::string &router,
+                                                             time_point now) const
+{
+    for (rollout_counts &sum : sums) {
+        for (const auto &[service, rollout] : m_rollouts) {
+            const auto peer = rollout.fromPeers.find(router);
+            if (shortHash(service) != sum.service || peer == rollout.fromPeers.end()) {
+                continue;
+            }
+            const rollout_counts &counts = peer->second.counts;
+            subtractRouteCounts(sum.routes, counts.routes);
+            if (now - peer->second.receivedAt < limits::loadUpdateLifetime) {
+                sum.routersShifted -= std::min(sum.routersShifted, counts.routersShifted);
+                sum.baseInFlight -= std::min(sum.baseInFlight, counts.baseInFlight);
+            }
+        }
+    }
+    return sums;
+}
+
+std::vector<rollout_report> rollout_control::reports(time_point now) const
+{
+    std::vector<rollout_report> reports;
+    for (const auto &[service, rollout] : m_rollouts) {
+        rollout_report report {service, rollout.order.target, rollout.state, rollout.fault, ageOf(rollout, now), {}, {}};
+        route_counts all;
+        for (const route_counts &each : sumOf(rollout, load_scope::fleet, now).routes) {
+            std::vector<route_counts> sum {{0, all.base, all.target}};
+            addRouteCounts(sum, {{0, each.base, each.target}});
+            all = sum.front();
+        }
+        report.base = all.base;
+        report.targetCounts = all.target;
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace nutmegtally
--- /dev/null
+++ b/src/rollout_judge.cpp
@@ -0,0 +1,189 @@
+#include "limits.h"
+
+#include <nutmegtally/rollout_judge.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace nutmegtally
+{
+
+namespace
+{
+
+void add(version_counts &sum, const version_counts &more)
+{
+    sum.answers += more.answers;
+    sum.bad += more.bad;
+    sum.timed += more.timed;
+    sum.slow += more.slow;
+    sum.logSlowness += more.logSlowness;
+}
+
+void subtract(version_counts &sum, const version_counts &less)
+{
+    sum.answers -= std::min(sum.answers, less.answers);
+    sum.bad -= std::min(sum.bad, less.bad);
+    sum.timed -= std::min(sum.timed, less.timed);
+    sum.slow -= std::min(sum.slow, less.slow);
+    sum.logSlowness -= less.logSlowness;
+}
+
+const route_counts *find(const std::vector<route_counts> &routes, std::uint32_t route)
+{
+    const auto found = std::find_if(routes.begin(), routes.end(), [route](const route_counts &each) { return each.route == route; });
+    return found == routes.end() ? nullptr : &*found;
+}
+
+bool hasFallen(const version_counts &before, const version_counts &after)
+{
+    return after.answers < before.answers || after.bad < before.bad || after.timed < before.timed || after.slow < before.slow;
+}
+
+bool hasFallen(const std::vector<route_counts> &before, const std::vector<route_counts> &after)
+{
+    return std::any_of(before.begin(), before.end(), [&after](const route_counts &each) {
+        const route_counts *now = find(after, each.route);
+        return now == nullptr || hasFallen(each.base, now->base) || hasFallen(each.target, now->target);
+    });
+}
+
+/// Two-proportion z value: by how many standard errors the target's share of events is above the base's. 0 without answers of both.
+double zValue(std::uint32_t targetEvents, std::uint32_t target, std::uint32_t baseEvents, std::uint32_t base)
+{
+    if (target == 0 || base == 0) {
+        return 0;
+    }
+    const double all = static_cast<double>(target) + base;
+    const double pooled = (static_cast<double>(targetEvents) + baseEvents) / all;
+    const double variance = pooled * (1 - pooled) * (1.0 / target + 1.0 / base);
+    const double difference = static_cast<double>(targetEvents) / target - static_cast<double>(baseEvents) / base;
+    if (variance <= 0) {
+        return 0; // all answers or none are of this kind
+    }
+    return difference / std::sqrt(variance);
+}
+
+enum class comparison : std::uint8_t {
+    equal,
+    suspicious,
+    worse,
+};
+
+comparison compare(std::uint32_t targetEvents, std::uint32_t target, std::uint32_t baseEvents, std::uint32_t base)
+{
+    const double z = zValue(targetEvents, target, baseEvents, base);
+    if (z < limits::rolloutSuspicionZ) {
+        return comparison::equal;
+    }
+    const double difference = static_cast<double>(targetEvents) / target - static_cast<double>(baseEvents) / base;
+    const bool isWorse
+        = targetEvents >= limits::minRolloutBadAnswers && difference >= limits::minRolloutShareDifference && z >= limits::rolloutVerdictZ;
+    return isWorse ? comparison::worse : comparison::suspicious;
+}
+
+/// Takes the result of one comparison of @p target and @p base into @p verdict. The first fault stays.
+void judge(rollout_verdict &verdict, std::uint32_t route, const version_counts &target, const version_counts &base)
+{
+    const comparison failures = compare(target.bad, target.answers, base.bad, base.answers);
+    const comparison times = compare(target.slow, target.timed, base.slow, base.timed);
+    verdict.isSuspicious = verdict.isSuspicious || failures != comparison::equal || times != comparison::equal;
+    if (verdict.fault != rollout_fault::none || (failures != comparison::worse && times != comparison::worse)) {
+        return;
+    }
+    verdict.fault = failures == comparison::worse ? rollout_fault::failures : rollout_fault::slow;
+    verdict.route = route;
+    verdict.target = target;
+    verdict.base = base;
+}
+
+/// Judges the counts of a span, by route and over all.
+/// @param whole Counts since the order, whose base stands in where the span has too few answers of it.
+void judgeSpan(rollout_verdict &verdict, const std::vector<route_counts> &span, const std::vector<route_counts> &whole)
+{
+    route_counts all;
+    route_counts allWhole;
+    for (const route_counts &each : span) {
+        const route_counts *since = find(whole, each.route);
+        const bool hasBase = each.base.answers >= limits::minRolloutBaseAnswers || since == nullptr;
+        judge(verdict, each.route, each.target, hasBase ? each.base : since->base);
+        add(all.base, each.base);
+        add(all.target, each.target);
+    }
+    for (const route_counts &each : whole) {
+        add(allWhole.base, each.base);
+    }
+    judge(verdict, 0, all.target, all.base.answers >= limits::minRolloutBaseAnswers ? all.base : allWhole.base);
+}
+
+bool hasEnoughAnswers(const std::vector<route_counts> &sums)
+{
+    std::uint32_t answers = 0;
+    for (const route_counts &each : sums) {
+        answers += each.target.answers;
+        if (each.base.answers >= limits::minRolloutBaseAnswers && each.target.answers < limits::minRolloutRouteAnswers) {
+            return false;
+        }
+    }
+    return answers >= limits::minRolloutAnswers;
+}
+
+} // namespace
+
+void addRouteCounts(std::vector<route_counts> &sums, const std::vector<route_counts> &more)
+{
+    for (const route_counts &each : more) {
+        const auto found = std::find_if(sums.begin(), sums.end(), [&each](const route_counts &known) { return known.route == each.route; });
+        if (found == sums.end()) {
+            sums.push_back(each);
+            continue;
+        }
+        add(found->base, each.base);
+        add(found->target, each.target);
+    }
+}
+
+void subtractRouteCounts(std::vector<route_counts> &sums, const std::vector<route_counts> &less)
+{
+    for (route_counts &each : sums) {
+        if (const route_counts *known = find(less, each.route)) {
+            subtract(each.base, known->base);
+            subtract(each.target, known->target);
+        }
+    }
+}
+
+void rollout_judge::record(time_point now, const std::vector<route_counts> &sums)
+{
+    if (!m_samples.empty() && hasFallen(m_samples.back().sums, sums)) {
+        m_samples.clear();
+    }
+    const bool isDue = m_samples.size() < 2 || now - m_samples[m_samples.size() - 2].at >= limits::rolloutSampleInterval;
+    if (isDue) {
+        m_samples.push_back({now, sums});
+    } else {
+        m_samples.back() = {now, sums};
+    }
+    while (m_samples.size() > 1 && now - m_samples[1].at >= limits::rolloutWindow) {
+        m_samples.pop_front();
+    }
+}
+
+rollout_verdict rollout_judge::verdict() const
+{
+    rollout_verdict verdict;
+    if (m_samples.empty()) {
+        return verdict;
+    }
+    const std::vector<route_counts> &whole = m_samples.back().sums;
+    std::vector<route_counts> window = whole;
+    subtractRouteCounts(window, m_samples.front().sums);
+    if (m_samples.size() > 1) {
+        judgeSpan(verdict, window, whole);
+    }
+    judgeSpan(verdict, whole, whole);
+    verdict.isGood = verdict.fault == rollout_fault::none && !verdict.isSuspicious && hasEnoughAnswers(whole);
+    return verdict;
+}
+
+} // namespace nutmegtally
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -88,6 +88,7 @@
         upstream_entry &state = known->second;
         upstream_record same = state.record;
         same.coldFor = record.coldFor;
+        same.listedAt = record.listedAt;
         const bool changed = !(same == record) || state.isMissing;
         m_servicesChanged = m_servicesChanged || state.record.service != record.service;
         // An entry that is only listed again, for instance after the object API was restored, is no start.
@@ -177,6 +178,18 @@
     return upstream.inFlight + std::max(fromPeers, stated);
 }
 
+version_load upstream_set::loadOfVersions(std::string_view service, std::string_view target, time_point now) const
+{
+    version_load load;
+    for (const auto &[instance, state] : m_upstreams) {
+        if (state.record.service == service) {
+            load.all += estimatedLoad(state, now);
+            load.base += state.record.version == target ? 0 : state.inFlight;
+        }
+    }
+    return load;
+}
+
 std::uint64_t upstream_set::pendingPrefillTokens(const upstream_entry &upstream, time_point now) const
 {
     std::uint64_t tokens = upstream.pendingPrefillTokens;
@@ -274,10 +287,10 @@
     }
 }
 
-void upstream_set::setLeader(bool isLeader)
+bool upstream_set::setLeader(bool isLeader)
 {
     if (m_isLeader == isLeader) {
-        return;
+        return false;
     }
     m_isLeader = isLeader;
     m_lastUpdates.clear();
@@ -285,6 +298,7 @@
         state.fromPeers.clear();
     }
     m_outgoingRemotePrompts.clear();
+    return true;
 }
 
 std::vector<prompt_location> upstream_set::knownPrompts(time_point now) const
@@ -497,7 +511,7 @@
     std::vector<candidate> eligible;
     bool anyTried = false;
     for (upstream_entry *state : ofService(request.service)) {
-        if (!isEligible(*state)) {
+        if (!isEligible(*state) || (request.versions != nullptr && !request.versions->allows(state->record.version, state->hash))) {
             continue;
         }
         if (request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(), state->number) != request.tried->end()) {
