Rollouts: counts of leaders that do not reach the store, end-to-end tests

A rollout was never completed while a leader was cut off from the object API: the other leaders leave out its domain's sums, so its routers seemed not to have shifted (e2e_rollout, oneRouterIsCutFromTheStore: status 'running' only).

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -157,6 +157,7 @@
 struct load_update_received {
     load_update update;
     bool isCounted = true; // false if another update counts the same requests
+    bool isSubstitute = false; // not counted, but of the same scope: from a leader that does not reach the object API
 };
 
 /// Another router reported where prompts are cached.
--- a/include/nutmegtally/rollout_control.h
+++ b/include/nutmegtally/rollout_control.h
@@ -151,7 +151,9 @@
 
     /// Takes the counts of another router or the sums of a leader.
     /// @param isCounted False if another update counts the same requests: only ages and faults are taken.
-    void applyUpdate(const load_update &update, bool isCounted, time_point now);
+    /// @param isSubstitute Counts nevertheless while no counted update of the same source comes: the requests of routers that do not
+    /// reach the object API must not be missing when the old upstreams are stopped.
+    void applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, time_point now);
 
     /// Forgets the counts of all other routers: sums contain requests that single updates counted before.
     void forgetUpdates();
@@ -170,6 +172,7 @@
         load_scope scope = load_scope::router;
         rollout_counts counts;
         time_point receivedAt;
+        bool isSubstitute = false;
     };
 
     struct known_upstream {
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -134,7 +134,7 @@
     // leader.
     const bool isRelevantScope = m_election.isLeader() != (heartbeat.load.scope == load_scope::fleet);
     const bool isPreferredSource = heartbeat.load.scope == load_scope::router || m_election.isPreferredLeader(heartbeat.name, at);
-    m_serving.post(entry_event::load_update_received {heartbeat.load, isRelevantScope && isPreferredSource});
+    m_serving.post(entry_event::load_update_received {heartbeat.load, isRelevantScope && isPreferredSource, isRelevantScope});
     if (!heartbeat.evidence.empty()) {
         m_serving.post(entry_event::part_evidence_received {heartbeat.evidence});
     }
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -60,11 +60,6 @@
     addRouteCounts(sum.routes, more.routes);
 }
 
-bool isFinal(rollout_status status)
-{
-    return status == rollout_status::completed || status == rollout_status::rolledBack;
-}
-
 bool isOpen(rollout_state state)
 {
     return state == rollout_state::trial || state == rollout_state::suspected || state == rollout_state::shift;
@@ -629,7 +624,7 @@
     }
 }
 
-void rollout_control::applyUpdate(const load_update &update, bool isCounted, time_point now)
+void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, time_point now)
 {
     for (auto &[service, rollout] : m_rollouts) {
         const std::uint32_t key = shortHash(service);
@@ -643,8 +638,11 @@
         if (rollout.fault == rollout_fault::none && isOpen(rollout.state)) {
             rollout.fault = found->fault;
         }
-        if (isCounted) {
-            rollout.fromPeers[update.source] = {update.scope, *found, now};
+        const auto known = rollout.fromPeers.find(update.source);
+        const bool hasCounted = known != rollout.fromPeers.end() && !known->second.isSubstitute
+                                && now - known->second.receivedAt < limits::loadUpdateLifetime;
+        if (isCounted || (isSubstitute && !hasCounted)) {
+            rollout.fromPeers[update.source] = {update.scope, *found, now, !isCounted};
         }
     }
 }
--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -48,7 +48,7 @@
         self.settings.write_text(json.dumps({
             "name": self.name, "domain": self.domain, "listen": address % self.port, "readyListen": address % self.ready_port,
             "routersListen": address % self.peer_port, "loadListen": address % self.load_port, "metricsListen": address % self.metrics_port,
-            "seeds": seeds, "objects": self.fleet.store_proxies[self.name].address, "shutdownSeconds": 6}))
+            "seeds": seeds, "objects": self.fleet.store_proxies[self.name].address, "shutdownSeconds": 6, **self.fleet.more_settings}))
 
     def start(self) -> None:
         with open(self.log, "ab") as out:
@@ -82,8 +82,9 @@
 class Fleet:
     """Routers, the object API behind one proxy per router, and upstreams behind a proxy each."""
 
-    def __init__(self, binary: pathlib.Path, routers: int = 2, engines: int = 2, desks: int = 2, seed: int = 1):
+    def __init__(self, binary: pathlib.Path, routers: int = 2, engines: int = 2, desks: int = 2, seed: int = 1, more_settings=None):
         self.binary = binary
+        self.more_settings = more_settings or {}
         self.temporary = tempfile.TemporaryDirectory(prefix="nutmegtally-entry-")
         self.folder = pathlib.Path(self.temporary.name)
         self.rng = random.Random(seed)
@@ -101,11 +102,12 @@
             router.write_settings(seeds)
             router.start()
 
-    def add_upstream(self, name: str, service: str, domain: str) -> Upstream:
+    def add_upstream(self, name: str, service: str, domain: str, version: str = "v1", service_time_s: float = 0.01) -> Upstream:
         upstream = Upstream(name, random.Random(self.rng.random()))
+        upstream.service_time_s = service_time_s
         self.upstreams[name] = upstream
         self.proxies[name] = Proxy(upstream.address)
-        self.entries[name] = {**upstream_entry(service, self.proxies[name].address, domain), "born": 1, "sequence": 1}
+        self.entries[name] = {**upstream_entry(service, self.proxies[name].address, domain, version=version), "born": 1, "sequence": 1}
         self.store.put("servers", name, self.entries[name])
         return upstream
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -11,6 +11,9 @@
 import urllib.parse
 
 
+SLOW_FACTOR = 5  # by which an upstream with the fault "slow" takes longer
+
+
 def start_server(handler):
     """Starts a threading TCP server on a free port."""
 
@@ -82,6 +85,8 @@
         self.written = set()  # (kind, name) of what was written or deleted since
         self.mode = "up"  # up; busy: status 503; silent: no answer; reset: connections are reset
         self.calls = 0
+        self.statuses = []  # entries of (time, name, status) of each status that was written
+        self.on_status = None  # called with name and status when one is written
         store = self
 
         class Handler(socketserver.BaseRequestHandler):
@@ -97,20 +102,46 @@
     def put(self, kind: str, name: str, spec) -> int:
         with self.lock:
             self.revision += 1
-            obj = {"metadata": {"name": name, "revision": self.revision}, "spec": spec, "status": {}}
-            self.objects[kind, name] = obj
-            self.written.add((kind, name))
-            self.history.append((self.revision, kind, obj, False))
-            self.lock.notify_all()
+            known = self.objects.get((kind, name))
+            created = known["metadata"]["created_rev"] if known else self.revision
+            status = known["status"] if known else None
+            self.store_object(kind, {"metadata": {"name": name, "revision": self.revision, "created_rev": created}, "spec": spec, "status": status})
             return self.revision
 
+    def store_object(self, kind: str, obj) -> None:
+        """Takes a new state of an object at the current revision. Call with the lock held."""
+        name = obj["metadata"]["name"]
+        self.objects[kind, name] = obj
+        self.written.add((kind, name))
+        self.history.append((self.revision, kind, obj, False))
+        self.lock.notify_all()
+
+    def replace_status(self, kind: str, name: str, body: bytes):
+        """PUT of a status. Returns the HTTP status and the object, or None."""
+        call = json.loads(body)
+        with self.lock:
+            known = self.objects.get((kind, name))
+            if known is None:
+                return 404, None
+            if call["metadata"].get("revision", known["metadata"]["revision"]) != known["metadata"]["revision"]:
+                return 409, known
+            if call["status"] != known["status"]:
+                self.revision += 1
+                self.statuses.append((time.monotonic(), name, call["status"]))
+                self.store_object(kind, {**known, "metadata": {**known["metadata"], "revision": self.revision}, "status": call["status"]})
+            on_status = self.on_status
+            answer = 200, self.objects[kind, name]
+        if on_status:
+            on_status(name, call["status"])
+        return answer
+
     def delete(self, kind: str, name: str) -> None:
         with self.lock:
             self.written.add((kind, name))
             if (obj := self.objects.pop((kind, name), None)) is None:
                 return
             self.revision += 1
-            gone = {**obj, "metadata": {"name": name, "revision": self.revision}}
+            gone = {**obj, "metadata": {**obj["metadata"], "revision": self.revision}}
             self.history.append((self.revision, kind, gone, True))
             self.lock.notify_all()
 
@@ -164,7 +195,11 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         kind = url.path.removeprefix("/nutmegtally/objects/")
         era = self.era
-        status, answer = self.watch(kind, query) if "watch" in query else self.page(kind, query)
+        if method == "PUT":
+            kind, name, _ = kind.split("/")
+            status, answer = self.replace_status(kind, name, body)
+        else:
+            status, answer = self.watch(kind, query) if "watch" in query else self.page(kind, query)
         if self.mode != "up" or self.era != era:
             reset(sock)
             return False
@@ -207,6 +242,8 @@
         self.service_time_s = 0.01
         self.events = 4
         self.event_gap_s = 0.01
+        self.fault_of = None  # called with the target and the number of running requests; returns a fault that goes before `fault`
+        self.running = 0
         self.deadly_part = None  # a prompt part on which it crashes when it begins an answer
         self.crash = None  # called then
         upstream = self
@@ -225,6 +262,15 @@
         return f"{self.instance}.{request_id}"
 
     def serve(self, sock, method, target, headers, body) -> bool:
+        with self.lock:
+            self.running += 1
+        try:
+            return self.answer(sock, method, target, headers, body)
+        finally:
+            with self.lock:
+                self.running -= 1
+
+    def answer(self, sock, method, target, headers, body) -> bool:
         request_id = headers.get("x-request-id", "")
         if headers.get("x-expect-instance", self.instance) != self.instance:
             sock.sendall(f"HTTP/1.1 421 X\r\nX-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n".encode())
@@ -233,6 +279,8 @@
             self.arrivals.append((time.monotonic(), request_id))
             self.seen_headers[request_id] = headers
             fault = self.fault if self.rng.random() < self.fault_share else None
+            if self.fault_of:
+                fault = self.fault_of(target, self.running) or fault
             if fault != "shed":
                 self.runs[request_id] = self.runs.get(request_id, 0) + 1
         if fault == "shed":
@@ -244,7 +292,7 @@
         if fault == "reset":
             reset(sock)
             return False
-        time.sleep(self.service_time_s)
+        time.sleep(self.service_time_s * (SLOW_FACTOR if fault == "slow" else 1))
         head = f"X-Request-Id: {request_id}\r\nX-Server-Stamp: {self.stamp(request_id)}\r\nX-Server-Load: 1,0,64\r\n"
         if "stream" in target:
             return self.stream(sock, request_id, head, headers, fault)
@@ -369,7 +417,7 @@
             "tenants": [{"name": "account-1", "api_keys": list(keys)}]}
 
 
-def upstream_entry(service: str, address: str, domain: str, state: str = "ready"):
+def upstream_entry(service: str, address: str, domain: str, state: str = "ready", version: str = "v1"):
     """Object of one upstream."""
-    return {"service": service, "address": address, "zone": domain, "version": "v1", "capacity": 64, "state": state, "warmup_ms": 0,
+    return {"service": service, "address": address, "zone": domain, "version": version, "capacity": 64, "state": state, "warmup_ms": 0,
             "sequence": 1, "born": int(time.time() * 1000)}
