Serving: an answer with a status outside 100 to 599 is damaged

Seen by callers: an answer with the status 000 was relayed as an answer, in every framing and on every kind of route.

Cause: the parser accepts any three digits as a status, and nothing after it checked the range.

Ruled out: statuses that are not three digits; both parsers reject them.

Change: the parser rejects such a status, so the attempt fails as damaged and counts against the upstream. The blocking client of the agents rejects it too: to a write it had meant 'without effect'.

--- a/programs/rpc/rpc_http.cpp
+++ b/programs/rpc/rpc_http.cpp
@@ -19,6 +19,9 @@
 namespace
 {
 
+// As in serving/serving_limits.h, which does not compile as C++14.
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
 constexpr std::size_t maxIdleConnections = 8; // more are needed only during bursts
 
 /// Size of a message head in bytes, as Poco serializes it.
@@ -148,8 +151,12 @@
         if (response.hasContentLength() && response.getContentLength64() != static_cast<Poco::Int64>(answer.body.size())) {
             throw Poco::DataException("the answer does not match its Content-Length");
         }
+        const int status = static_cast<int>(response.getStatus());
+        if (status < minStatus || status > maxStatus) {
+            throw Poco::DataException("the answer has the invalid status " + std::to_string(status));
+        }
         answer.etag = stripQuotes(response.get("ETag", ""));
-        answer.status = static_cast<int>(response.getStatus());
+        answer.status = status;
         answer.progress = http_progress::answered;
         isReusable = response.getKeepAlive();
     } catch (const Poco::Exception &fault) {
--- a/programs/serving/http_message.cpp
+++ b/programs/serving/http_message.cpp
@@ -190,8 +190,12 @@
 }
 
 template<bool IsRequest>
-void message_parser<IsRequest>::on_response_impl(int code, string_view reason, int version, error_code &)
+void message_parser<IsRequest>::on_response_impl(int code, string_view reason, int version, error_code &ec)
 {
+    if (code < serving_limits::minStatus || code > serving_limits::maxStatus) {
+        ec = http::error::bad_status; // Beast accepts any three digits
+        return;
+    }
     m_head.status = code;
     m_head.reason = std::string(reason);
     m_head.minorVersion = static_cast<unsigned>(version % 10);
--- a/programs/serving/serving_limits.h
+++ b/programs/serving/serving_limits.h
@@ -12,6 +12,8 @@
 using namespace std::chrono_literals;
 
 inline constexpr std::size_t maxPipelinedBytes = 65'536; // buffered input of pipelined requests while one is served
+inline constexpr int minStatus = 100; // of an answer; HTTP defines no other
+inline constexpr int maxStatus = 599;
 inline constexpr std::size_t maxAnswerHeadBytes = 65'536; // head of an upstream's answer
 inline constexpr std::size_t maxChunkFramingBytes = 4096; // one chunk's size line with its extension, or a trailer section
 inline constexpr unsigned maxSkippedAnswers = 8; // interim (1xx) answers and answers to other requests before the expected one
