Admission: order by priority and account, expected waits, returns

Cause: arrivals were placed before requests that wait, less urgent requests overtook one that found no free capacity, accounts had no shares outside of stated limits, and each refusal for want of capacity stated 400 ms.

Change: admission_order holds the waiting requests of a router. It decides which one is tried, whether an arrival may be tried before them, whether a request is refused at once, and the Retry-After. Callers that come back as told come before new requests, unless their account is over its share: otherwise an account in a surge gets ahead of the others by its many refusals. A request that was sent before does not wait again, as before. The rate of starts counts as the capacity only after requests have waited for 500 ms; before, it may be that of the demand. The decisions on admission move from entry_core.cpp to entry_core_admission.cpp. The mechanism admission_order switches to the former order.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -2,6 +2,7 @@
 // on retries and timeouts. A reducer: events carry the time, and the serving loop owns the sockets.
 #pragma once
 
+#include <nutmegtally/admission_order.h>
 #include <nutmegtally/answer_framing.h>
 #include <nutmegtally/attempt_failure.h>
 #include <nutmegtally/cache_recovery.h>
@@ -17,7 +18,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -439,6 +439,11 @@
         return m_rollouts;
     }
 
+    const admission_order &admission() const
+    {
+        return m_order;
+    }
+
     const upstream_set &upstreams() const
     {
         return m_upstreams;
@@ -451,14 +456,6 @@
         relaying, // the answer is being relayed to the caller
     };
 
-    /// Order of the waiting requests.
-    struct queue_position {
-        int priority = -1; // of a request that is over: its entry is dropped
-        std::size_t turn = 0; // while upstreams are at their limits: waiting requests of the same account that came before
-
-        auto operator<=>(const queue_position &) const = default;
-    };
-
     /// Placement of a request that is sent when the issuer of the upstream's permits agrees.
     struct permit_wait {
         std::uint64_t number = 0; // of the permit_request
@@ -484,6 +481,9 @@
         time_point deadlineAt; // the caller's deadline
         time_point timeoutAt; // the route's timeout, or the deadline if that is sooner
         time_point queueUntil; // refused if it is still waiting then
+        time_point heldUntil; // it is held back until then while more urgent requests wait at other routers
+        bool isHeldBack = false; // with placement_outcome::awaitsTurn: for such requests
+        bool isReturned = false; // its caller was told to come back at about the time of its arrival
         time_point sentAt;
         phase state = phase::waiting;
         upstream_number upstream = noUpstreamNumber; // of the running attempt
@@ -582,10 +582,24 @@
     void recordLimit(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
     /// True if a request is likely to get one of the permits that this router can count on while it waits.
     bool isPermitLikely(time_point now, const exchange &work) const;
-    std::unordered_map<exchange_id, queue_position> queuePositions() const;
     void logLimits(std::vector<effect> &effects);
+    static admission_order::scheme schemeFor(const mechanism_set &mechanisms);
+    static admission_request admissionOf(exchange_id id, const exchange &work);
+    /// Finds out whether the caller of a new request was told to come back now, and how long the request may be held back.
+    void noteArrival(time_point now, exchange_id id, exchange &work);
+    /// Counts an attempt that is starting for the shares of accounts.
+    void noteAdmission(time_point now, exchange_id id, const exchange &work);
+    /// False if requests that come first wait. A request that was sent before does not wait again.
+    bool isTurnOf(time_point now, exchange_id id, exchange &work) const;
+    void reportAdmission(time_point now, std::vector<effect> &effects);
+    /// Why a request waits after placing it failed; nothing if it does not wait.
+    std::optional<wait_reason> waitReason(time_point now, const exchange &work) const;
     void placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
     void placeWaiting(time_point now, std::vector<effect> &effects);
+    /// Refuses a request that was not sent, for the reason why it was not placed.
+    void refuseUnplaced(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects);
+    /// Time after which the caller of a refused request should come back.
+    std::optional<duration> retryAfter(time_point now, exchange_id id, const exchange &work, refusal_reason reason);
     bool mayRetry(time_point now, exchange &work, std::vector<effect> &effects);
     void detectPause(time_point now, std::vector<effect> &effects);
     /// Applies what an answer says besides its status: that the upstream is leaving, asks for a pause, or states a limit.
@@ -603,7 +617,6 @@
     upstream_set m_upstreams;
     std::map<std::string, retry_budget> m_retryBudgets; // by service
     exchanges m_exchanges;
-    std::deque<exchange_id> m_waiting; // by priority, then in order of arrival; entries whose exchange is over are skipped
     std::optional<time_point> m_drainingSince;
     std::optional<time_point> m_lastEventAt; // a long gap means that the process was paused, as ticks are frequent
     std::optional<time_point> m_unverifiedUntil; // after a pause of the process: upstreams may have left, keys may be revoked
@@ -612,6 +625,7 @@
     std::unordered_map<std::uint64_t, exchange_id> m_trials; // by suspected part: the request that may be sent with it
     std::map<upstream_number, upstream_check> m_checks; // in progress
     rollout_control m_rollouts;
+    admission_order m_order; // of the requests in phase::waiting that wait for an upstream, without those that wait for a permit or a check
     request_limits m_limits;
     std::uint64_t m_lastPermit = 0; // number of the last permit_request
     std::unordered_map<std::uint64_t, exchange_id> m_permits; // by number of the permit_request that is not answered
--- a/include/nutmegtally/load_update.h
+++ b/include/nutmegtally/load_update.h
@@ -3,6 +3,7 @@
 // sums. A lost update is replaced by the next one.
 #pragma once
 
+#include <nutmegtally/admission_counts.h>
 #include <nutmegtally/rollout.h>
 #include <nutmegtally/time.h>
 
@@ -62,6 +63,7 @@
     std::vector<leaving_upstream> leaving {}; // repeated for some seconds, so that a lost update does not matter
     load_scope scope = load_scope::router;
     std::vector<rollout_counts> rollouts {}; // of each order in force
+    admission_counts admission {}; // empty if no request waits and none was started lately
 };
 
 } // namespace nutmegtally
--- a/include/nutmegtally/log_events.h
+++ b/include/nutmegtally/log_events.h
@@ -109,6 +109,8 @@
     rolloutStatusWritten = 2004,
     rolloutUnserved = 2005,
     rolloutUnreadable = 2006,
+    admissionBacklog = 2101,
+    admissionShare = 2102,
 };
 
 struct log_event_info {
@@ -245,6 +247,10 @@
     {log_event::rolloutUnserved, "rollout_unserved", log_level::warning, "No upstream has the version that an order names."},
     {log_event::rolloutUnreadable, "rollout_unreadable", log_level::warning,
      "An order could not be read or has no valid ramp; it is ignored."},
+    {log_event::admissionBacklog, "admission_backlog", log_level::info,
+     "Requests of a service and priority wait for capacity; written once a second while they do."},
+    {log_event::admissionShare, "admission_share", log_level::info,
+     "What a client account got of a service, and how long it waited, since the last line; written while requests of the service wait."},
 });
 
 /// Table entry of an event.
--- a/include/nutmegtally/mechanism.h
+++ b/include/nutmegtally/mechanism.h
@@ -33,13 +33,14 @@
     streamResumption, // a broken stream goes on at another engine
     requestPriority, // engines are told the priority of requests
     promptQuarantine, // prompt parts that crash engines are held back
+    admissionOrder, // arrivals wait behind more urgent requests, accounts get fair shares, and refusals state the expected wait
     count
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(mechanism::count)> mechanismNames = {
-    "cached_prefix", "preferred_engines", "prefix_fetch",   "prompt_announcements", "cache_queries",    "peer_load",
-    "reported_load", "load_bound",        "random_spread",  "cross_domain_penalty", "failure_penalty",  "ejection",
-    "queueing",      "queue_order",       "overdue_resend", "stream_resumption",    "request_priority", "prompt_quarantine",
+    "cached_prefix",  "preferred_engines", "prefix_fetch",         "prompt_announcements", "cache_queries",   "peer_load", "reported_load",
+    "load_bound",     "random_spread",     "cross_domain_penalty", "failure_penalty",      "ejection",        "queueing",  "queue_order",
+    "overdue_resend", "stream_resumption", "request_priority",     "prompt_quarantine",    "admission_order",
 };
 
 constexpr std::string_view nameOf(mechanism each)
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -83,12 +83,13 @@
     cachesUnknown, // the process has just started, and engines have not told yet what they have cached
     quarantined, // a part of the prompt crashes engines
     onTrial, // a part of the prompt is suspected to crash engines, and another request with it is not past its beginning
+    awaitsTurn, // requests of the service that come first wait, here or at another router
     count
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(placement_outcome::count)> placementOutcomeNames = {
     "chosen",      "none_listed", "all_full",       "all_cold",    "all_tried", "all_paused",
-    "all_limited", "unverified",  "caches_unknown", "quarantined", "on_trial",
+    "all_limited", "unverified",  "caches_unknown", "quarantined", "on_trial",  "awaits_turn",
 };
 
 constexpr std::string_view nameOf(placement_outcome outcome)
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -42,36 +42,6 @@
     return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
-std::optional<duration> retryAfterFor(refusal_reason reason)
-{
-    switch (reason) {
-    case refusal_reason::noRules:
-    case refusal_reason::noUpstream:
-        return limits::retryAfterNoUpstream;
-    case refusal_reason::noRoom:
-        return limits::retryAfterNoRoom;
-    case refusal_reason::upstreamRefused:
-        return limits::retryAfterRefused;
-    case refusal_reason::draining:
-        return limits::retryAfterDraining;
-    default:
-        return std::nullopt;
-    }
-}
-
-refusal_reason reasonFor(placement_outcome outcome)
-{
-    switch (outcome) {
-    case placement_outcome::noneListed:
-        return refusal_reason::noUpstream;
-    case placement_outcome::quarantined:
-    case placement_outcome::onTrial:
-        return refusal_reason::quarantined;
-    default:
-        return refusal_reason::noRoom;
-    }
-}
-
 } // namespace
 
 log_line entry_core::attemptLogLine(time_point now, const exchange &work) const
@@ -95,6 +65,7 @@
     , m_cacheRecovery(m_options.queriesCaches && m_options.mechanisms.has(mechanism::cacheQueries))
     , m_quarantine(hashText(m_options.name))
     , m_rollouts(m_options.rollouts, m_options.name)
+    , m_order(schemeFor(m_options.mechanisms))
 {
     m_upstreams.setRouters(m_options.name, {});
     m_limits.setRouters(m_options.name, {});
@@ -185,6 +156,7 @@
 {
     if (m_upstreams.setLeader(input.isLeader)) {
         m_rollouts.forgetUpdates();
+        m_order.forgetUpdates();
     }
     log_line line;
     line.with("lead", input.isLeader);
@@ -228,6 +200,7 @@
     work.service = serviceFor(*work.route, input.request.requestId);
     work.queueUntil = std::min(work.timeoutAt - limits::minAttemptTime, now + scaled(work.route->target, limits::queueTargetShare));
     m_retryBudgets[work.service].addRequest(now);
+    noteArrival(now, input.exchange, work);
     queryCaches(now, effects);
     placeOrWait(now, input.exchange, work, effects);
 }
@@ -245,6 +218,9 @@
         work.lastPlacement = placement_outcome::cachesUnknown;
         return false;
     }
+    if (!isTurnOf(now, id, work)) {
+        return false;
+    }
     static const prompt_parts noParts;
     const prompt_parts &parts = work.route->carriesPrompt ? work.request.parts : noParts;
     placement_query wanted;
@@ -294,6 +270,7 @@
     work.wasOverdue = false;
     work.prefillTokens = choice.prefillTokens;
     noteVersionStart(work, upstream, choice);
+    noteAdmission(now, id, work);
     m_upstreams.start(choice.upstream, parts, work.prefillTokens, work.request.promptTokens + work.request.outputTokens, now);
 
     entry_effect::start_attempt attempt;
@@ -325,72 +302,11 @@
         .with("fetch_tokens", choice.fetchTokens)
         .with("prompt_tokens", work.request.promptTokens)
         .with("waited_ms", now - work.arrivedAt)
+        .with("returned", work.isReturned)
         .with("left_ms", attempt.timeLeft);
     effects.push_back(record(log_event::attemptStarted, line));
 }
 
-void entry_core::placeOrWait(time_point now, exchange_id id, exchange &work, std::vector<effect> &effects)
-{
-    if (work.timeoutAt - now < limits::minAttemptTime) {
-        refuse(now, id, work, work.sends > 0 ? work.lastFailure : refusal_reason::timeoutNotRun, effects);
-        return;
-    }
-    if (place(now, id, work, effects)) {
-        return;
-    }
-    if (work.lastPlacement == placement_outcome::quarantined) {
-        refuse(now, id, work, refusal_reason::quarantined, effects);
-        return;
-    }
-    const bool waits = work.lastPlacement == placement_outcome::allFull || work.lastPlacement == placement_outcome::allCold
-                       || work.lastPlacement == placement_outcome::unverified || work.lastPlacement == placement_outcome::cachesUnknown
-                       || (work.lastPlacement == placement_outcome::allPaused && work.pausedUntil < work.queueUntil)
-                       || (work.lastPlacement == placement_outcome::allLimited && isPermitLikely(now, work))
-                       || (work.lastPlacement == placement_outcome::onTrial && now + work.heldFor < work.queueUntil);
-    if (waits && m_options.mechanisms.has(mechanism::queueing) && work.sends == 0 && m_waiting.size() < limits::queueLimit
-        && now < work.queueUntil) {
-        work.state = phase::waiting;
-        work.permitDenials = 0;
-        m_waiting.push_back(id);
-        return;
-    }
-    if (work.sends > 0) {
-        refuse(now, id, work, work.lastFailure, effects);
-        return;
-    }
-    refuse(now, id, work, reasonFor(work.lastPlacement), effects);
-}
-
-void entry_core::placeWaiting(time_point now, std::vector<effect> &effects)
-{
-    if (m_waiting.empty()) {
-        return;
-    }
-    if (m_options.mechanisms.has(mechanism::queueOrder)) {
-        // By priority, under limits by the account's turn, and in order of arrival.
-        const std::unordered_map<exchange_id, queue_position> positions = queuePositions();
-        std::stable_sort(m_waiting.begin(), m_waiting.end(),
-                         [&](exchange_id a, exchange_id b) { return positions.at(a) < positions.at(b); });
-    }
-    std::deque<exchange_id> remaining;
-    for (const exchange_id id : m_waiting) {
-        const auto found = m_exchanges.find(id);
-        if (found == m_exchanges.end() || found->second.state != phase::waiting || found->second.permit) {
-            continue;
-        }
-        exchange &work = found->second;
-        if (place(now, id, work, effects)) {
-            continue;
-        }
-        if (work.lastPlacement == placement_outcome::quarantined) {
-            refuse(now, id, work, refusal_reason::quarantined, effects);
-            continue;
-        }
-        remaining.push_back(id);
-    }
-    m_waiting = std::move(remaining);
-}
-
 bool entry_core::mayRetry(time_point now, exchange &work, std::vector<effect> &effects)
 {
     if (work.sends == 0) {
@@ -621,6 +537,7 @@
 {
     m_upstreams.applyUpdate(input.update, input.isCounted, now);
     m_rollouts.applyUpdate(input.update, input.isCounted, input.isSubstitute, now);
+    m_order.applyUpdate(input.update, input.isCounted && m_options.mechanisms.has(mechanism::peerLoad), now);
 }
 
 void entry_core::detectPause(time_point now, std::vector<effect> &effects)
@@ -662,6 +579,7 @@
     std::erase_if(m_trials, [this](const auto &trial) { return !m_exchanges.contains(trial.second); });
     queryCaches(now, effects);
     updateRollouts(now, effects);
+    reportAdmission(now, effects);
     placeWaiting(now, effects);
     for (const exchange_id id : openIds()) {
         const auto found = m_exchanges.find(id);
@@ -692,7 +610,7 @@
     }
     if (work.state == phase::waiting) {
         if (now >= (work.checkedUpstream == noUpstreamNumber ? work.queueUntil : work.timeoutAt)) {
-            refuse(now, id, work, reasonFor(work.lastPlacement), effects);
+            refuseUnplaced(now, id, work, effects);
         }
         return;
     }
@@ -745,22 +663,15 @@
     entry_effect::refuse answer;
     answer.exchange = id;
     answer.reason = reason;
-    answer.retryAfter = retryAfterFor(reason);
-    if (answer.retryAfter && work.lastPlacement == placement_outcome::allPaused) {
-        answer.retryAfter = std::max(*answer.retryAfter, work.pausedUntil - now);
-    }
-    if (answer.retryAfter && work.lastPlacement == placement_outcome::allLimited && work.sends == 0) {
-        answer.retryAfter = m_limits.nextReturn(work.pausedUntil, work.limitedPerSecond, now);
-    }
-    if (reason == refusal_reason::quarantined) {
-        answer.retryAfter = std::max(limits::retryAfterSuspicion, work.heldFor);
-    }
+    answer.retryAfter = retryAfter(now, id, work, reason);
     effects.push_back(answer);
     log_line line;
     line.with("request", work.request.requestId)
         .with("reason", infoOf(reason).name)
         .with("status", infoOf(reason).status)
         .with("route", work.route ? work.route->name : "")
+        .with("account", work.account)
+        .with("priority", work.priority)
         .with("version", work.rules ? work.rules->version : 0)
         .with("placement", nameOf(work.lastPlacement))
         .with("sends", work.sends)
@@ -798,6 +709,7 @@
     if (const auto found = m_exchanges.find(id); found != m_exchanges.end() && found->second.permit) {
         m_permits.erase(found->second.permit->number);
     }
+    m_order.remove(id);
     m_exchanges.erase(id);
 }
 
--- a/src/entry_core_limits.cpp
+++ b/src/entry_core_limits.cpp
@@ -93,37 +93,14 @@
     }
 }
 
-std::unordered_map<exchange_id, entry_core::queue_position> entry_core::queuePositions() const
-{
-    std::unordered_map<exchange_id, queue_position> positions;
-    std::unordered_map<std::string_view, std::size_t> waitingOf; // by account
-    for (const exchange_id id : m_waiting) {
-        queue_position &position = positions[id];
-        if (const auto found = m_exchanges.find(id); found != m_exchanges.end()) {
-            const exchange &work = found->second;
-            position.priority = work.priority;
-            position.turn = work.lastPlacement == placement_outcome::allLimited ? waitingOf[work.account]++ : 0;
-        }
-    }
-    return positions;
-}
-
 bool entry_core::isPermitLikely(time_point now, const exchange &work) const
 {
     if (work.pausedUntil >= work.queueUntil) {
         return false;
     }
-    queue_position own {work.priority, 0};
-    for (const exchange_id id : m_waiting) {
-        const auto found = m_exchanges.find(id);
-        const bool isOfSameAccount = found != m_exchanges.end() && found->second.account == work.account;
-        own.turn += isOfSameAccount && found->second.lastPlacement == placement_outcome::allLimited ? 1 : 0;
-    }
-    const std::unordered_map<exchange_id, queue_position> positions = queuePositions();
-    const auto ahead = std::count_if(positions.begin(), positions.end(),
-                                     [&](const auto &each) { return each.second.priority >= 0 && each.second <= own; });
+    const auto ahead = static_cast<double>(m_order.limitedAhead(work.priority, work.account));
     const double seconds = std::chrono::duration<double>(work.queueUntil - now).count();
-    return static_cast<double>(ahead) < std::max(1.0, work.limitedPerSecond * m_limits.ownShare() * seconds);
+    return ahead < std::max(1.0, work.limitedPerSecond * m_limits.ownShare() * seconds);
 }
 
 void entry_core::on(time_point now, const entry_event::limits_received &input, std::vector<effect> &effects)
--- a/src/limits.h
+++ b/src/limits.h
@@ -263,4 +263,29 @@
 inline constexpr duration longestAnswerTime = 10s; // that the longest time at a base upstream is remembered, at least
 inline constexpr duration unlistedTargetDelay = 2s; // until an order for a version without upstreams is logged
 
+// Order of waiting requests, shares of accounts and expected waits.
+inline constexpr duration accountUseHalfLife = 5s; // of the cost of an account's requests
+// An account is over its share above this multiple of the other accounts' mean use; less is chance.
+inline constexpr double overShareFactor = 1.25;
+inline constexpr duration startRateHalfLife = 2s; // of the cost of started requests; follows changes of the capacity
+inline constexpr duration backlogLifetime = 300ms; // of other routers' backlog; an older one would hold requests back for nothing
+inline constexpr duration maxHoldBack = 100ms; // of a request while more urgent ones wait at other routers; lost updates cost little
+inline constexpr double holdBackWaitShare = 0.5; // of the time that a request may wait; it is tried before it is refused
+// Requests must have waited for this time until the rate of starts counts as the capacity; before, it may be that of the demand.
+inline constexpr duration minBacklogTime = 500ms;
+inline constexpr duration maxBacklogBreak = 300ms; // without waiting requests, within which the backlog counts as the same
+inline constexpr duration minStatedReturn = 200ms; // shortest Retry-After for want of capacity
+inline constexpr duration maxStatedReturn = 3s; // longest one, before it is spread
+inline constexpr double returnSpread = 0.5; // of the Retry-After, added by hash so that callers do not come back together
+inline constexpr double returnLeftShare = 1.0 / 3; // of the time that callers have left, up to which they honour a Retry-After
+inline constexpr duration returnTolerance = 2s; // after its time, in which a caller counts as returned
+inline constexpr std::size_t maxPromisedReturns = 2048; // remembered for one service
+inline constexpr std::size_t maxSharedBacklogs = 16; // services and priorities in a heartbeat; 11 bytes each
+inline constexpr std::size_t maxSharedUses = 32; // accounts in a heartbeat; 8 bytes each
+inline constexpr std::size_t maxSharedReturns = 32; // services, priorities and accounts in a heartbeat; 11 bytes each
+inline constexpr std::size_t maxSharedRates = 8; // services in a heartbeat; 8 bytes each
+inline constexpr double minAccountUse = 0.05; // tokens or requests; a smaller use is forgotten
+inline constexpr duration admissionReportInterval = 1s; // between two reports of the backlog to the log
+inline constexpr std::size_t maxReportedAccounts = 32; // of a service, in one report
+
 } // namespace nutmegtally::limits
