Admission: messages between routers, metrics of the backlog

Cause: the order and the shares held only at each router, and operators could not see who waits.

Change: heartbeats carry backlog, use of accounts, returns and rates of starts as element 16, which routers of an earlier version do not send. Leaders send the sums of a domain and of the fleet, without the receiver's own. Gauges have the backlog by service and priority; accounts are in the log only, as metrics name none.

--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -305,6 +305,7 @@
     const time_point at = now();
     heartbeat.load = m_serving.entryCore().upstreams().ownLoad(at);
     heartbeat.load.rollouts = m_serving.entryCore().rollouts().ownCounts(at);
+    heartbeat.load.admission = m_serving.entryCore().admission().ownCounts(at);
     const std::vector<prompt_location> prompts = m_serving.takePrompts().fromOwnDomain;
     const std::vector<const router_endpoint *> leaders = m_election.ownLeaders(at);
     // Only one leader receives the prompts and forwards them; any leader will do.
@@ -322,17 +323,20 @@
     const time_point at = now();
     const upstream_set &upstreams = m_serving.entryCore().upstreams();
     const rollout_control &rollouts = m_serving.entryCore().rollouts();
+    const admission_order &admission = m_serving.entryCore().admission();
     const upstream_set::outgoing_prompts prompts = m_serving.takePrompts();
     const bool includesLiveness = m_heartbeatRounds % roundsPerLivenessReport == 0;
 
     heartbeat.load = upstreams.ownLoad(at); // without prompts: domainLoad and fleetLoad below carry them
     heartbeat.load.rollouts = rollouts.ownCounts(at);
+    heartbeat.load.admission = admission.ownCounts(at);
     for (const router_endpoint *leader : m_election.ownLeaders(at)) {
         sendHeartbeat(*leader, heartbeat);
     }
 
     heartbeat.load = upstreams.domainLoad(at);
     heartbeat.load.rollouts = rollouts.sumOfCounts(load_scope::domain, at);
+    heartbeat.load.admission = admission.sumOfCounts(load_scope::domain, at);
     heartbeat.load.prompts = prompts.fromOwnDomain;
     heartbeat.recentRouters = includesLiveness ? m_gossip.recentlySeen(m_settings.domain, at) : std::vector<std::uint32_t>();
     for (const router_endpoint *leader : m_election.remoteLeaders(at)) {
@@ -341,12 +345,14 @@
 
     load_update fleet = upstreams.fleetLoad(at);
     const std::vector<rollout_counts> rolloutSums = rollouts.sumOfCounts(load_scope::fleet, at);
+    const admission_counts admissionSums = admission.sumOfCounts(load_scope::fleet, at);
     fleet.prompts = prompts.fromOwnDomain;
     fleet.prompts.insert(fleet.prompts.end(), prompts.fromOtherDomains.begin(), prompts.fromOtherDomains.end());
     heartbeat.recentRouters = includesLiveness ? m_gossip.recentlySeen({}, at) : std::vector<std::uint32_t>();
     for (const router_endpoint *peer : m_election.domainPeers()) {
         heartbeat.load = upstreams.excludingRouter(fleet, peer->name);
         heartbeat.load.rollouts = rollouts.excludingRouter(rolloutSums, peer->name, at);
+        heartbeat.load.admission = admission.excludingRouter(admissionSums, peer->name, at);
         sendHeartbeat(*peer, heartbeat);
     }
 }
--- a/programs/entry/entry_metrics.cpp
+++ b/programs/entry/entry_metrics.cpp
@@ -60,6 +60,27 @@
     }
 }
 
+void entry_metrics::setBacklogs(const std::map<std::pair<std::string, int>, admission_order::backlog> &backlogs)
+{
+    for (auto &[place, backlog] : m_backlogs) {
+        backlog = {};
+    }
+    for (const auto &[place, backlog] : backlogs) {
+        m_backlogs[place] = backlog;
+    }
+    for (const auto &[place, backlog] : m_backlogs) {
+        const metric_labels labels {{"service", place.first}, {"priority", std::to_string(place.second)}};
+        m_metrics.gauge("nutmegtally_entry_backlog_requests", "Requests that wait for capacity at this router", labels)
+            .Set(static_cast<double>(backlog.waiting));
+        m_metrics.gauge("nutmegtally_entry_backlog_elsewhere", "Requests that wait for capacity at other routers", labels)
+            .Set(static_cast<double>(backlog.elsewhere));
+        m_metrics.gauge("nutmegtally_entry_backlog_cost", "Tokens or requests that wait for capacity at this router", labels)
+            .Set(backlog.cost);
+        m_metrics.gauge("nutmegtally_entry_backlog_longest_wait_seconds", "Time that the oldest of them waits", labels)
+            .Set(std::chrono::duration<double>(backlog.longestWait).count());
+    }
+}
+
 std::string entry_metrics::text(const entry_gauges &gauges)
 {
     m_callers.Set(static_cast<double>(gauges.callers));
@@ -73,6 +94,7 @@
     m_droppedLines.Set(static_cast<double>(gauges.droppedLines));
     m_quarantinedParts.Set(static_cast<double>(gauges.quarantinedParts));
     setLimits(gauges.limitedServices);
+    setBacklogs(gauges.backlogs);
     return m_metrics.text();
 }
 
--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace nutmegtally
 {
@@ -26,6 +27,7 @@
     std::uint64_t droppedLines = 0; // of the log, since the start of the process
     std::uint64_t quarantinedParts = 0; // of prompts
     std::map<std::string, entry_core::limited_service> limitedServices; // by service
+    std::map<std::pair<std::string, int>, admission_order::backlog> backlogs; // by service and priority
 };
 
 class entry_metrics
@@ -42,6 +44,7 @@
 
 private:
     void setLimits(const std::map<std::string, entry_core::limited_service> &services);
+    void setBacklogs(const std::map<std::pair<std::string, int>, admission_order::backlog> &backlogs);
 
     daemon_metrics m_metrics;
     prometheus::Family<prometheus::Counter> &m_requests;
@@ -58,6 +61,7 @@
     prometheus::Gauge &m_droppedLines;
     prometheus::Gauge &m_quarantinedParts;
     std::map<std::string, entry_core::limited_service> m_limitedServices; // with those that had limits before
+    std::map<std::pair<std::string, int>, admission_order::backlog> m_backlogs; // with those where requests waited before
     std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> m_requestSeconds;
 };
 
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -212,6 +212,81 @@
     return rollouts;
 }
 
+/// Costs are sent in these parts of a token, or of a request of a plain service: shares of a few requests must differ.
+constexpr double costUnits = 64;
+constexpr std::uint8_t overShareBit = 0x80; // of the byte that holds a priority
+
+void appendCost(std::string &bytes, double cost)
+{
+    appendNumber<std::uint32_t>(bytes, static_cast<std::uint64_t>(std::max(0.0, std::round(cost * costUnits))));
+}
+
+double readCost(std::string_view &bytes)
+{
+    return readNumber<std::uint32_t>(bytes) / costUnits;
+}
+
+json admissionToJson(const admission_counts &counts)
+{
+    std::string backlog;
+    for (const backlog_count &each : counts.backlog) {
+        appendNumber<std::uint32_t>(backlog, each.service);
+        appendNumber<std::uint8_t>(backlog, each.place.priority | (each.place.isOverShare ? overShareBit : 0U));
+        appendNumber<std::uint16_t>(backlog, each.waiting);
+        appendCost(backlog, each.cost);
+    }
+    std::string uses;
+    for (const account_use &each : counts.uses) {
+        appendNumber<std::uint32_t>(uses, each.account);
+        appendCost(uses, each.cost);
+    }
+    std::string returns;
+    for (const return_count &each : counts.returns) {
+        appendNumber<std::uint32_t>(returns, each.service);
+        appendNumber<std::uint8_t>(returns, each.priority);
+        appendNumber<std::uint32_t>(returns, each.account);
+        appendNumber<std::uint16_t>(returns, each.count);
+    }
+    std::string rates;
+    for (const start_rate &each : counts.rates) {
+        appendNumber<std::uint32_t>(rates, each.service);
+        appendCost(rates, each.perSecond);
+    }
+    return json::array({std::move(backlog), std::move(uses), std::move(returns), std::move(rates)});
+}
+
+admission_counts admissionFromJson(const json &document)
+{
+    admission_counts counts;
+    const auto bytesAt = [&document](std::size_t index) { return std::string_view(document.at(index).get_ref<const std::string &>()); };
+    for (std::string_view rest = bytesAt(0); !rest.empty();) {
+        backlog_count each;
+        each.service = readNumber<std::uint32_t>(rest);
+        const auto place = readNumber<std::uint8_t>(rest);
+        each.place = {static_cast<std::uint8_t>(place & ~overShareBit), (place & overShareBit) != 0};
+        each.waiting = readNumber<std::uint16_t>(rest);
+        each.cost = readCost(rest);
+        counts.backlog.push_back(each);
+    }
+    for (std::string_view rest = bytesAt(1); !rest.empty();) {
+        const auto account = readNumber<std::uint32_t>(rest);
+        counts.uses.push_back({account, readCost(rest)});
+    }
+    for (std::string_view rest = bytesAt(2); !rest.empty();) {
+        return_count each;
+        each.service = readNumber<std::uint32_t>(rest);
+        each.priority = readNumber<std::uint8_t>(rest);
+        each.account = readNumber<std::uint32_t>(rest);
+        each.count = readNumber<std::uint16_t>(rest);
+        counts.returns.push_back(each);
+    }
+    for (std::string_view rest = bytesAt(3); !rest.empty();) {
+        const auto service = readNumber<std::uint32_t>(rest);
+        counts.rates.push_back({service, readCost(rest)});
+    }
+    return counts;
+}
+
 limit_statement limitFromBytes(std::string_view bytes)
 {
     const std::vector<limit_statement> statements = limitsFromBytes(bytes);
@@ -413,7 +488,7 @@
     json::to_msgpack(json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval,
                                   load.source, static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving),
                                   std::move(digests), recentRouters, evidenceToJson(heartbeat.evidence), limitsToBytes(heartbeat.limits),
-                                  std::move(sinceApiAnswer), rolloutsToBytes(load.rollouts)}),
+                                  std::move(sinceApiAnswer), rolloutsToBytes(load.rollouts), admissionToJson(load.admission)}),
                      bytes);
     return bytes;
 }
@@ -479,6 +554,9 @@
     if (document.size() > 15) {
         load.rollouts = rolloutsFromBytes(document.at(15).get_ref<const std::string &>());
     }
+    if (document.size() > 16) {
+        load.admission = admissionFromJson(document.at(16));
+    }
     return heartbeat;
 }
 
--- a/tests/test_admission_order.cpp
+++ b/tests/test_admission_order.cpp
@@ -1,5 +1,6 @@
 // Tests of the order in which waiting requests are admitted: by entry_core on one router, and by a model of several routers that share
 // the capacity of one service.
+#include "entry/gossip_codec.h"
 #include "entry_fixture.h"
 #include "src/limits.h"
 
@@ -473,4 +474,26 @@
     BOOST_TEST(others.uses.at(0).cost == 8, boost::test_tools::tolerance(1e-9));
 }
 
+// Load: long lists of counts in each heartbeat. Guards against losing counts on the way, and against datagrams that grow with the fleet.
+BOOST_AUTO_TEST_CASE(fullCounts_inHeartbeat_areReadAgainAndBounded)
+{
+    router_heartbeat heartbeat;
+    const std::size_t empty = encodeHeartbeat(heartbeat).size();
+    admission_counts &counts = heartbeat.load.admission;
+    for (std::uint32_t i = 0; i < limits::maxSharedBacklogs; ++i) {
+        counts.backlog.push_back({0xfedc0000 + i, {static_cast<std::uint8_t>(i), i % 2 == 1}, 7 + i, 1000.5 + i});
+    }
+    for (std::uint32_t i = 0; i < limits::maxSharedUses; ++i) {
+        counts.uses.push_back({0xabc00000 + i, 2.25 * i});
+        counts.returns.push_back({0xfedc0000, 3, 0xabc00000 + i, i + 1});
+    }
+    for (std::uint32_t i = 0; i < limits::maxSharedRates; ++i) {
+        counts.rates.push_back({0xfedc0000 + i, 90'000 + 0.5 * i});
+    }
+    const std::string bytes = encodeHeartbeat(heartbeat);
+    const auto read = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
+    BOOST_TEST((read.load.admission == counts));
+    BOOST_TEST(bytes.size() - empty <= 860U); // 848 of counts, and the lengths of the lists
+}
+
 BOOST_AUTO_TEST_SUITE_END()
