Admission: times by class, and returns that are not counted several times

Cause: stated times were those of the whole service, also for classes for which little of it is left; each router used each told return once, so that fifty routers took one for fifty; and callers who do not wait as long as stated counted as promised.

Change: the expected wait is divided by the part of the starts that is left for the class. Each router takes its part of the told returns. Only times within a third of what the caller has left are promises. Refusals by upstreams state the expected wait too while requests wait.

--- a/include/nutmegtally/admission_order.h
+++ b/include/nutmegtally/admission_order.h
@@ -78,6 +78,9 @@
 
     explicit admission_order(scheme by);
 
+    /// @param count Live routers, with this one.
+    void setRouters(std::size_t count);
+
     /// Requests that wait at this router, of all services.
     std::size_t size() const
     {
@@ -119,7 +122,7 @@
     /// Time after which a caller should come back who is refused for want of capacity, and by which it is recognized when it does.
     /// Nothing if no request of the service waits, or the order is not by shares.
     /// @param seed Spreads the times of different requests.
-    /// @param longestPause The caller comes back after this time at the latest.
+    /// @param longestPause The caller does not wait longer; it has no claim when it comes back earlier than stated.
     std::optional<duration> refuse(const admission_request &request, std::uint64_t seed, duration longestPause, time_point now);
 
     /// True if the request is likely to be that of a caller who was told to come back now, by this router or another one.
@@ -204,6 +207,7 @@
     struct service_state {
         std::map<std::string, account_state> accounts;
         decaying_sum started; // cost of requests, since measuredSince
+        std::map<int, decaying_sum> startedBy; // the same by priority
         time_point measuredSince;
         std::optional<time_point> backlogSince; // requests wait for capacity, without a longer break
         time_point lastBacklogAt;
@@ -232,7 +236,11 @@
     /// Place that a request has, or would have if it waited.
     place placeOf(const admission_request &request, time_point now) const;
     double costAhead(const admission_request &request, time_point now) const;
+    /// Cost of the callers whom this router told to come back, and who come before the request.
     double promisedCostAhead(const admission_request &request, time_point now) const;
+    /// Part of the starts at this router that is left for the request's class: by more urgent requests and, if the account is over its
+    /// share, by other accounts.
+    double shareLeft(const admission_request &request, time_point now) const;
     double rateOf(const service_state &service, time_point now) const;
     /// Cost that the fleet starts in a second; nothing if it is not known.
     std::optional<double> fleetRate(const std::string &service, time_point now) const;
@@ -249,6 +257,7 @@
     std::map<std::string, service_state> m_services;
     std::map<std::string, peer_counts> m_peers; // by source of the load update
     time_point m_nextReportAt;
+    std::size_t m_routers = 1;
 };
 
 } // namespace nutmegtally
--- a/src/admission_order.cpp
+++ b/src/admission_order.cpp
@@ -129,6 +129,11 @@
 {
 }
 
+void admission_order::setRouters(std::size_t count)
+{
+    m_routers = std::max<std::size_t>(1, count);
+}
+
 void admission_order::wait(admission_request request, wait_reason reason, time_point now)
 {
     if (m_pass && reason == wait_reason::capacity) {
@@ -212,6 +217,7 @@
 {
     service_state &service = serviceFor(request.service, now);
     service.started.add(request.cost, limits::startRateHalfLife, now);
+    service.startedBy[request.priority].add(request.cost, limits::startRateHalfLife, now);
     account_state &account = service.accounts[request.account];
     account.use.add(cost, limits::accountUseHalfLife, now);
     ++account.started;
@@ -244,16 +250,18 @@
         // Other routers' promises are not known. Each router gives away its own part of the capacity.
         const double ownRate = rateOf(m_services.at(request.service), now);
         const double rate = ownRate > 0 ? ownRate : *fleetRate(request.service, now);
-        wait = seconds(*expected) + promisedCostAhead(request, now) / rate;
+        wait = (seconds(*expected) + promisedCostAhead(request, now) / rate) / shareLeft(request, now);
     }
     wait = std::clamp(wait, seconds(limits::minStatedReturn), seconds(limits::maxStatedReturn));
     const double unit = static_cast<double>(seed >> 11) / static_cast<double>(1ULL << 53);
     const duration stated = fromSeconds(wait * (1 + limits::returnSpread * unit));
-    service_state &service = serviceFor(request.service, now);
-    service.promised.push_back({request.caller, accountKey(request.service, request.account), request.priority, request.cost,
-                                now + std::min(stated, longestPause)});
-    if (service.promised.size() > limits::maxPromisedReturns) {
-        service.promised.pop_front();
+    if (stated <= longestPause) {
+        service_state &service = serviceFor(request.service, now);
+        service.promised.push_back(
+            {request.caller, accountKey(request.service, request.account), request.priority, request.cost, now + stated});
+        if (service.promised.size() > limits::maxPromisedReturns) {
+            service.promised.pop_front();
+        }
     }
     return stated;
 }
@@ -279,7 +287,9 @@
     const auto taken = std::count_if(service.guessed.begin(), service.guessed.end(), [&](const guessed_return &each) {
         return each.account == account && each.priority == request.priority && now - each.at < limits::returnTolerance;
     });
-    if (told <= static_cast<std::size_t>(taken)) {
+    // The callers spread over all routers, so this one expects its part of them.
+    const double expected = static_cast<double>(told) / static_cast<double>(m_routers);
+    if (expected < static_cast<double>(taken) + limits::minExpectedReturn) {
         return false;
     }
     service.guessed.push_back({account, request.priority, now});
@@ -502,6 +512,7 @@
         service.backlogSince = now;
         service.measuredSince = now;
         service.started = {};
+        service.startedBy.clear();
     }
     service.lastBacklogAt = now;
 }
@@ -652,6 +663,25 @@
     return cost;
 }
 
+double admission_order::shareLeft(const admission_request &request, time_point now) const
+{
+    const service_state &service = m_services.at(request.service);
+    const double total = service.started.at(limits::startRateHalfLife, now);
+    double left = total;
+    for (const auto &[priority, started] : service.startedBy) {
+        left -= priority < request.priority ? started.at(limits::startRateHalfLife, now) : 0;
+    }
+    double share = total > 0 ? left / total : 1;
+    if (!isWithinShare(request.service, request.account, now)) {
+        double uses = 0;
+        for (const auto &[account, state] : service.accounts) {
+            uses += useOf(request.service, account, now);
+        }
+        share *= uses > 0 ? useOf(request.service, request.account, now) / uses : 1;
+    }
+    return std::clamp(share, limits::minShareLeft, 1.0);
+}
+
 double admission_order::rateOf(const service_state &service, time_point now) const
 {
     const double halfLife = seconds(limits::startRateHalfLife);
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -146,6 +146,7 @@
     m_quarantine.setRouters(hashesOf(input.live));
     m_limits.setRouters(m_options.name, input.live);
     m_rollouts.setRouters(input.live);
+    m_order.setRouters(m_upstreams.routers());
     log_line line;
     line.with("live", m_upstreams.routers()).with("previous", before);
     effects.push_back(record(log_event::routersChanged, line));
--- a/src/entry_core_admission.cpp
+++ b/src/entry_core_admission.cpp
@@ -195,7 +195,8 @@
     if (usual && work.lastPlacement == placement_outcome::allLimited && work.sends == 0) {
         return m_limits.nextReturn(work.pausedUntil, work.limitedPerSecond, now);
     }
-    if (reason == refusal_reason::noRoom && isWantOfCapacity(work.lastPlacement)) {
+    // An upstream that refuses while requests wait has no capacity either.
+    if ((reason == refusal_reason::noRoom && isWantOfCapacity(work.lastPlacement)) || reason == refusal_reason::upstreamRefused) {
         const auto left = std::chrono::duration<double, duration::period>(work.deadlineAt - now) * limits::returnLeftShare;
         const std::uint64_t seed = hashText(work.request.requestId, returnSpreadSeed);
         const auto expected = m_order.refuse(admissionOf(id, work), seed, std::chrono::duration_cast<duration>(left), now);
--- a/tests/test_admission_order.cpp
+++ b/tests/test_admission_order.cpp
@@ -423,6 +423,49 @@
     BOOST_TEST(order.beginPass(at + 1s) == expected, boost::test_tools::per_element());
 }
 
+// Load: fifty routers are told of the same hundred returns, and each gets several requests of the account. Guards against each router
+// taking all of them for itself.
+BOOST_AUTO_TEST_CASE(fiftyRouters_sameReturnsTold_takeAsManyAsWereTold)
+{
+    load_update update;
+    update.source = "other";
+    admission_order other(admission_order::scheme::share);
+    other.wait(plainRequest(1, "a", 1), wait_reason::capacity, time_point(1s));
+    for (std::uint64_t id = 10; id < 110; ++id) {
+        static_cast<void>(other.refuse(plainRequest(id, "a", 1), 0, 4s, time_point(1s)));
+    }
+    update.admission = other.ownCounts(time_point(1500ms));
+    unsigned taken = 0;
+    for (unsigned i = 0; i < 50; ++i) {
+        admission_order router(admission_order::scheme::share);
+        router.setRouters(50);
+        router.applyUpdate(update, true, time_point(1500ms));
+        for (std::uint64_t id = 0; id < 6; ++id) {
+            taken += router.takeReturn(plainRequest(1000 + id, "a", 1), time_point(1600ms)) ? 1 : 0;
+        }
+    }
+    BOOST_TEST(taken == 100U);
+}
+
+// Load: an urgent class takes nine tenths of the capacity. Guards against telling the less urgent class a time at which the urgent class
+// still takes it.
+BOOST_AUTO_TEST_CASE(urgentClassTakesMost_refusedOfBoth_lessUrgentIsToldALaterTime)
+{
+    admission_order order(admission_order::scheme::share);
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        const time_point at = time_point(1s) + i * 10ms;
+        order.wait(plainRequest(1, "a", 0), wait_reason::capacity, at);
+        order.recordStart(plainRequest(1000 + i, "a", i % 10 == 0 ? 2 : 0), 1, 0ms, at);
+    }
+    for (std::uint64_t id = 2; id < 40; ++id) {
+        order.wait(plainRequest(id, "a", 0), wait_reason::capacity, time_point(2s));
+    }
+    const duration urgent = *order.refuse(plainRequest(100, "a", 0), 0, 9s, time_point(2s));
+    const duration other = *order.refuse(plainRequest(101, "a", 2), 0, 9s, time_point(2s));
+    BOOST_TEST((urgent > 300ms && urgent < 500ms)); // 39 wait, and about a hundred are started in a second
+    BOOST_TEST((other == limits::maxStatedReturn));
+}
+
 // Load: fifty routers with the same information of one urgent request elsewhere. Guards against less urgent requests that are held back
 // for long when updates are lost.
 BOOST_AUTO_TEST_CASE(fiftyRouters_urgentRequestElsewhere_holdBackForAShortTime)
