Admission: long prompts do not make waits look longer where slots are scarce

Cause: the expected wait counted tokens only. Where slots are the scarcer resource, the long prompts ahead of an urgent request made its wait look too long, and it was refused at once although it could still be started.

Change: what is ahead counts with the usual cost of a started request if that gives a shorter wait.

--- a/include/nutmegtally/admission_order.h
+++ b/include/nutmegtally/admission_order.h
@@ -208,6 +208,7 @@
         std::map<std::string, account_state> accounts;
         decaying_sum started; // cost of requests, since measuredSince
         std::map<int, decaying_sum> startedBy; // the same by priority
+        decaying_sum startedRequests; // their number
         time_point measuredSince;
         std::optional<time_point> backlogSince; // requests wait for capacity, without a longer break
         time_point lastBacklogAt;
@@ -235,6 +236,8 @@
     std::vector<std::pair<place, const waiting_request *>> places(const std::string *service, time_point now) const;
     /// Place that a request has, or would have if it waited.
     place placeOf(const admission_request &request, time_point now) const;
+    /// Cost of what comes before the request, in the whole fleet. Where slots are scarcer than memory, a request costs the usual amount
+    /// however long its prompt is: the smaller of the two counts, so that no request is refused at once that may still be started.
     double costAhead(const admission_request &request, time_point now) const;
     /// Cost of the callers whom this router told to come back, and who come before the request.
     double promisedCostAhead(const admission_request &request, time_point now) const;
--- a/src/admission_order.cpp
+++ b/src/admission_order.cpp
@@ -217,6 +217,7 @@
 {
     service_state &service = serviceFor(request.service, now);
     service.started.add(request.cost, limits::startRateHalfLife, now);
+    service.startedRequests.add(1, limits::startRateHalfLife, now);
     service.startedBy[request.priority].add(request.cost, limits::startRateHalfLife, now);
     account_state &account = service.accounts[request.account];
     account.use.add(cost, limits::accountUseHalfLife, now);
@@ -513,6 +514,7 @@
         service.measuredSince = now;
         service.started = {};
         service.startedBy.clear();
+        service.startedRequests = {};
     }
     service.lastBacklogAt = now;
 }
@@ -626,30 +628,38 @@
 double admission_order::costAhead(const admission_request &request, time_point now) const
 {
     const place own = placeOf(request, now);
-    double ahead = 0;
-    double aheadAlike = 0; // of the same priority
-    double alike = 0;
+    double cost = 0;
+    double requests = 0;
+    double requestsAlike = 0; // of the same priority, at this router
+    double aheadAlike = 0; // of them, those that come first
     for (const auto &[other, entry] : places(&request.service, now)) {
         if (!waitsForRoom(entry->reason) || entry->request.id == request.id) {
             continue;
         }
-        const bool isAlike = entry->request.priority == request.priority;
-        ahead += other < own ? entry->request.cost : 0;
-        aheadAlike += isAlike && other < own ? entry->request.cost : 0;
-        alike += isAlike ? entry->request.cost : 0;
+        const double isAhead = other < own ? 1 : 0;
+        const double isAlike = entry->request.priority == request.priority ? 1 : 0;
+        cost += isAhead * entry->request.cost;
+        requests += isAhead;
+        requestsAlike += isAlike;
+        aheadAlike += isAhead * isAlike;
     }
     // The accounts of requests that wait at other routers are not known; as many of them as here are taken to come first.
-    const double shareAhead = alike > 0 ? aheadAlike / alike : 0.5;
-    const std::uint32_t service = shortHash(request.service);
+    const double shareAhead = requestsAlike > 0 ? aheadAlike / requestsAlike : 0.5;
+    const std::uint32_t hash = shortHash(request.service);
     const admission_class ownClass = classOf(request, now);
     for (const auto &[source, peer] : m_peers) {
         for (const backlog_count &each : peer.counts.backlog) {
-            if (each.service == service && now - peer.receivedAt < limits::backlogLifetime && each.place <= ownClass) {
-                ahead += each.cost * (each.place < ownClass ? 1 : shareAhead);
+            if (each.service == hash && now - peer.receivedAt < limits::backlogLifetime && each.place <= ownClass) {
+                const double share = each.place < ownClass ? 1 : shareAhead;
+                cost += share * each.cost;
+                requests += share * each.waiting;
             }
         }
     }
-    return ahead;
+    const auto service = m_services.find(request.service);
+    const double started = service == m_services.end() ? 0 : service->second.startedRequests.at(limits::startRateHalfLife, now);
+    const double usualCost = started > 0 ? service->second.started.at(limits::startRateHalfLife, now) / started : 0;
+    return usualCost > 0 ? std::min(cost, requests * usualCost) : cost;
 }
 
 double admission_order::promisedCostAhead(const admission_request &request, time_point now) const
