Admission: test that heartbeats without the new counts are read

Cause: routers of an earlier version send no element 16, and nothing tested that their heartbeats are still read.

--- a/tests/test_admission_order.cpp
+++ b/tests/test_admission_order.cpp
@@ -5,6 +5,7 @@
 #include "src/limits.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <map>
@@ -539,4 +540,18 @@
     BOOST_TEST(bytes.size() - empty <= 860U); // 848 of counts, and the lengths of the lists
 }
 
+// Load: an update of the routers, during which some are of an earlier version. Guards against dropping their heartbeats.
+BOOST_AUTO_TEST_CASE(heartbeatOfEarlierVersion_withoutCounts_isRead)
+{
+    router_heartbeat heartbeat;
+    heartbeat.name = "earlier";
+    heartbeat.load.admission.rates.push_back({1, 2});
+    auto document = nlohmann::json::from_msgpack(encodeHeartbeat(heartbeat));
+    document.erase(document.size() - 1);
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(document);
+    const auto read = std::get<router_heartbeat>(decodeDatagram(reinterpret_cast<const char *>(bytes.data()), bytes.size()));
+    BOOST_TEST(read.name == "earlier");
+    BOOST_TEST((read.load.admission == admission_counts()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
