--- a/programs/entry/entry_metrics.cpp
+++ b/programs/entry/entry_metrics.cpp
@@ -60,6 +60,36 @@
     }
 }
 
+void entry_metrics::setRollouts(const std::vector<rollout_report> &rollouts)
+{
+    const auto setState = [this](const std::string &service, std::optional<rollout_state> state) {
+        for (std::size_t i = 0; i < rolloutStateNames.size(); ++i) {
+            const metric_labels labels {{"service", service}, {"state", std::string(rolloutStateNames[i])}};
+            m_metrics.gauge("nutmegtally_entry_rollout_state", "1 for the state of a service's rollout", labels)
+                .Set(state == static_cast<rollout_state>(i) ? 1 : 0);
+        }
+    };
+    for (const std::string &service : m_rolloutServices) {
+        setState(service, std::nullopt);
+    }
+    for (const rollout_report &rollout : rollouts) {
+        m_rolloutServices.insert(rollout.service);
+        setState(rollout.service, rollout.state);
+        const auto set = [&](const char *version, const char *result, std::uint32_t answers) {
+            m_metrics
+                .gauge("nutmegtally_entry_rollout_answers", "Answers since the order, over all routers",
+                       {{"service", rollout.service}, {"version", version}, {"result", result}})
+                .Set(static_cast<double>(answers));
+        };
+        set("base", "all", rollout.base.answers);
+        set("base", "bad", rollout.base.bad);
+        set("base", "slow", rollout.base.slow);
+        set("target", "all", rollout.targetCounts.answers);
+        set("target", "bad", rollout.targetCounts.bad);
+        set("target", "slow", rollout.targetCounts.slow);
+    }
+}
+
 std::string entry_metrics::text(const entry_gauges &gauges)
 {
     m_callers.Set(static_cast<double>(gauges.callers));
@@ -73,6 +103,7 @@
     m_droppedLines.Set(static_cast<double>(gauges.droppedLines));
     m_quarantinedParts.Set(static_cast<double>(gauges.quarantinedParts));
     setLimits(gauges.limitedServices);
+    setRollouts(gauges.rollouts);
     return m_metrics.text();
 }
 
--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -8,7 +8,10 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace nutmegtally
 {
@@ -26,6 +29,7 @@
     std::uint64_t droppedLines = 0; // of the log, since the start of the process
     std::uint64_t quarantinedParts = 0; // of prompts
     std::map<std::string, entry_core::limited_service> limitedServices; // by service
+    std::vector<rollout_report> rollouts;
 };
 
 class entry_metrics
@@ -41,6 +45,7 @@
     std::string text(const entry_gauges &gauges);
 
 private:
+    void setRollouts(const std::vector<rollout_report> &rollouts);
     void setLimits(const std::map<std::string, entry_core::limited_service> &services);
 
     daemon_metrics m_metrics;
@@ -58,6 +63,7 @@
     prometheus::Gauge &m_droppedLines;
     prometheus::Gauge &m_quarantinedParts;
     std::map<std::string, entry_core::limited_service> m_limitedServices; // with those that had limits before
+    std::set<std::string> m_rolloutServices; // that have or had a rollout
     std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> m_requestSeconds;
 };
 
