Rollouts: the share of a shift doubles instead of jumping to all requests

Cause: between the shift and the first verdict under full load a version that is bad only then got all requests; a late fault would have broken the bound on its share.

--- a/include/nutmegtally/rollout_control.h
+++ b/include/nutmegtally/rollout_control.h
@@ -130,7 +130,7 @@
     version_class classOf(const std::string &service, std::string_view version) const;
 
     /// Counts an attempt that is being sent.
-    void recordStart(const std::string &service, std::string_view version);
+    void recordStart(const std::string &service, std::string_view version, time_point now);
 
     /// Counts an answer, or the break of one that was counted as good.
     /// @param upstream Hash of the instance's name.
@@ -212,6 +212,8 @@
         std::unordered_map<std::uint64_t, broken_answers> broken; // that are not counted yet, by hash of the upstream
         std::array<duration, 2> longestBaseAnswers {}; // in the current and the last span of limits::longestAnswerTime
         time_point longestSince; // start of the current span
+        std::optional<time_point> shiftingSince; // when this router learned of the shift
+        double shiftCredit = 0; // requests that the share of the shift allows beyond those that were sent
         rollout_fault fault = rollout_fault::none; // of this router's verdict, or told by another
         rollout_verdict verdict;
         rollout_judge judge;
@@ -225,12 +227,14 @@
 
     static void addBroken(service_rollout &rollout, version_class which, std::uint64_t upstream, time_point now);
     void setState(service_rollout &rollout, rollout_state state, std::vector<effect> &effects);
-    void adoptStatus(service_rollout &rollout, std::vector<effect> &effects);
+    void adoptStatus(service_rollout &rollout, time_point now, std::vector<effect> &effects);
     std::string baseVersion(const service_rollout &rollout) const;
     bool hasBase(const service_rollout &rollout) const;
     const std::map<std::string, known_version> &versionsOf(const std::string &service) const;
     std::size_t routers() const;
     bool hasQuota(const service_rollout &rollout) const;
+    /// Part of the requests that the target version gets in a shift. It doubles until it is 1.
+    double shiftShare(const service_rollout &rollout, time_point now) const;
     /// Hashes of the target's upstreams that the trial uses. All routers choose the same ones.
     std::vector<std::uint64_t> trialUpstreams(const service_rollout &rollout, const std::string &base) const;
     rollout_counts own(const service_rollout &rollout, time_point now) const;
--- a/src/entry_core_rollouts.cpp
+++ b/src/entry_core_rollouts.cpp
@@ -42,7 +42,7 @@
     work.isCountedGood = false;
     const std::chrono::duration<double, std::milli> predicted(limits::expectedTimeFloorMs + std::max(0.0, choice.score));
     work.expectedTime = work.route->carriesPrompt ? std::chrono::duration_cast<duration>(predicted) : work.route->target;
-    m_rollouts.recordStart(work.service, upstream.record.version);
+    m_rollouts.recordStart(work.service, upstream.record.version, work.sentAt);
 }
 
 void entry_core::countVersionAnswer(time_point now, exchange &work, answer_quality quality)
--- a/src/limits.h
+++ b/src/limits.h
@@ -255,6 +255,8 @@
 inline constexpr double trialSlackShare = 0.3; // of the fleet's slack, divided among the routers; some may restart in the trial
 inline constexpr duration unknownVersionHold = 2s; // of upstreams of a new version until the orders are known; a list takes less
 inline constexpr double minTrialTime = 0.4; // of the ramp, before all requests go to the new version
+inline constexpr duration shiftDoublingTime
+    = 500ms; // of the share in a shift; a fault that shows with more load is found before all requests move
 inline constexpr duration completionMargin = 1500ms; // for the status to reach all routers, and their counts to come back
 inline constexpr duration rolloutTurnDelay = 400ms; // between two routers that may write a status; a write takes less
 inline constexpr std::size_t maxRolloutTurns = 8;
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr double maxDoublings = 10; // of the share in a shift; one that begins at nothing ends after these
+
 std::uint32_t shortHash(std::string_view text)
 {
     return static_cast<std::uint32_t>(hashText(text) >> 32);
@@ -189,10 +191,10 @@
     } else {
         rollout.order = order; // a final state stays in force if the store lost it, and is written again
     }
-    adoptStatus(rollout, effects);
+    adoptStatus(rollout, now, effects);
 }
 
-void rollout_control::adoptStatus(service_rollout &rollout, std::vector<effect> &effects)
+void rollout_control::adoptStatus(service_rollout &rollout, time_point now, std::vector<effect> &effects)
 {
     switch (rollout.order.status) {
     case rollout_status::completed:
@@ -203,6 +205,7 @@
         break;
     case rollout_status::shift:
         if (isOpen(rollout.state) && rollout.state != rollout_state::suspected) {
+            rollout.shiftingSince = rollout.shiftingSince.value_or(now);
             setState(rollout, rollout_state::shift, effects);
         }
         break;
@@ -268,6 +271,16 @@
     return static_cast<double>(rollout.targetStarts + 1) <= share * static_cast<double>(rollout.starts + 1) + slack;
 }
 
+double rollout_control::shiftShare(const service_rollout &rollout, time_point now) const
+{
+    if (!rollout.shiftingSince) {
+        return 1;
+    }
+    const double doublings
+        = std::chrono::duration<double>(now - *rollout.shiftingSince) / std::chrono::duration<double>(limits::shiftDoublingTime);
+    return std::min(1.0, limits::trialQuotaShare * m_bounds->trialShare * std::exp2(std::min(doublings, maxDoublings)));
+}
+
 std::vector<std::uint64_t> rollout_control::trialUpstreams(const service_rollout &rollout, const std::string &base) const
 {
     struct ranked {
@@ -346,8 +359,13 @@
         filters.push_back(except(target));
         break;
     case rollout_state::shift:
-        filters.push_back(only(target));
-        filters.push_back(only(base));
+        if (shiftShare(rollout, now) < 1 && rollout.shiftCredit < 1) {
+            filters.push_back(only(base));
+            filters.push_back(only(target));
+        } else {
+            filters.push_back(only(target));
+            filters.push_back(only(base));
+        }
         break;
     case rollout_state::completed:
         filters.push_back(only(target));
@@ -377,14 +395,18 @@
     return version == baseVersion(found->second) ? version_class::base : version_class::other;
 }
 
-void rollout_control::recordStart(const std::string &service, std::string_view version)
+void rollout_control::recordStart(const std::string &service, std::string_view version, time_point now)
 {
     const auto found = m_rollouts.find(service);
     if (found == m_rollouts.end()) {
         return;
     }
     ++found->second.starts;
-    found->second.targetStarts += version == found->second.order.target ? 1 : 0;
+    const bool isTarget = version == found->second.order.target;
+    found->second.targetStarts += isTarget ? 1 : 0;
+    if (found->second.state == rollout_state::shift) {
+        found->second.shiftCredit += shiftShare(found->second, now) - (isTarget ? 1 : 0);
+    }
 }
 
 void rollout_control::recordAnswer(const std::string &service, std::string_view version, std::uint64_t upstream, std::string_view route,
@@ -483,7 +505,7 @@
     counts.order = orderKey(rollout.order);
     counts.age = ageOf(rollout, now);
     counts.fault = rollout.fault;
-    counts.routersShifted = rollout.state == rollout_state::shift ? 1 : 0;
+    counts.routersShifted = rollout.state == rollout_state::shift && shiftShare(rollout, now) >= 1 ? 1 : 0;
     counts.baseInFlight = rollout.baseInFlight;
     counts.longestBaseAnswer = longestBaseAnswer(rollout);
     counts.routes = rollout.counts;
@@ -509,7 +531,9 @@
 
 duration rollout_control::shiftAge(const service_rollout &rollout, const rollout_counts &sums) const
 {
-    const duration latest = rollout.order.ramp - sums.longestBaseAnswer - limits::completionMargin;
+    const double doublings = -std::log2(std::max(limits::trialQuotaShare * m_bounds->trialShare, std::exp2(-maxDoublings)));
+    const duration latest
+        = rollout.order.ramp - sums.longestBaseAnswer - limits::completionMargin - scaled(limits::shiftDoublingTime, doublings);
     return std::max(latest, scaled(rollout.order.ramp, limits::minTrialTime));
 }
 
--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -188,7 +188,7 @@
                 ++refused;
                 continue;
             }
-            at.control->recordStart("desk", chosen->version);
+            at.control->recordStart("desk", chosen->version, now);
             ++at.inFlight[chosen->version];
             ++allStarts;
             ++startsOf[chosen->version];
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -121,6 +121,14 @@
         played(8, [](rollout_fleet &fleet, const std::string &, unsigned load) { return load >= 1 ? failing(fleet, 0.8) : sound(fleet); }));
 }
 
+// Guards against all requests that go to a version at once, before its first answers under full load are there.
+BOOST_AUTO_TEST_CASE(badVersion_failingWithTheShift_isRolledBackWithinTheBound)
+{
+    checkRolledBack(played(8, [](rollout_fleet &fleet, const std::string &, unsigned) {
+        return fleet.order->status == rollout_status::shift ? failing(fleet, 0.6) : sound(fleet);
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(badVersion_severalTimesSlower_isRolledBack)
 {
     for (const double share : {0.5, 1.0}) {
