Rollouts: counts from two leaders of one domain count once

Cause: the counts of other routers were kept by the leader that sent them. Each domain has two leaders, and the second one's sums were taken as a substitute beside the first one's; those of a former leader stayed. So answers and shifted routers counted twice, and `completed` could be written before all routers had shifted. Change: counts are kept by whose requests they count (a router, a domain, the fleet); an update replaces the one before it.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -158,6 +158,7 @@
     load_update update;
     bool isCounted = true; // false if another update counts the same requests
     bool isSubstitute = false; // not counted, but of the same scope: from a leader that does not reach the object API
+    std::string covers {}; // whose requests it counts, the same for all leaders of a domain; empty for the source's
 };
 
 /// Another router reported where prompts are cached.
--- a/include/nutmegtally/leader_election.h
+++ b/include/nutmegtally/leader_election.h
@@ -56,6 +56,9 @@
     /// True if the load sum of leader @p name is the one to use: of its domain's active leaders it covers the most routers.
     bool isPreferredLeader(std::string_view name, time_point now) const;
 
+    /// Domain of a live router; empty for one that is not known.
+    std::string domainOf(std::string_view name) const;
+
     /// The other leaders of this router's domain: the planned ones and all active ones.
     std::vector<const router_endpoint *> ownLeaders(time_point now) const;
 
--- a/include/nutmegtally/rollout_control.h
+++ b/include/nutmegtally/rollout_control.h
@@ -151,9 +151,10 @@
 
     /// Takes the counts of another router or the sums of a leader.
     /// @param isCounted False if another update counts the same requests: only ages and faults are taken.
-    /// @param isSubstitute Counts nevertheless while no counted update of the same source comes: the requests of routers that do not
+    /// @param isSubstitute Counts nevertheless while no counted update of the same routers comes: the requests of routers that do not
     /// reach the object API must not be missing when the old upstreams are stopped.
-    void applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, time_point now);
+    /// @param covers Whose requests it counts. An update replaces the one before it of the same routers, whichever leader sent that.
+    void applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, const std::string &covers, time_point now);
 
     /// Forgets the counts of all other routers: sums contain requests that single updates counted before.
     void forgetUpdates();
@@ -172,6 +173,7 @@
         load_scope scope = load_scope::router;
         rollout_counts counts;
         time_point receivedAt;
+        std::string source;
         bool isSubstitute = false;
     };
 
@@ -215,7 +217,7 @@
         rollout_fault fault = rollout_fault::none; // of this router's verdict, or told by another
         rollout_verdict verdict;
         rollout_judge judge;
-        std::map<std::string, peer_counts> fromPeers; // by source of the load update
+        std::map<std::string, peer_counts> fromPeers; // by whose requests they count
         std::optional<time_point> wishesSince; // for the status that is to be written next
         rollout_status wish = rollout_status::none;
         time_point nextWriteAt;
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -134,7 +134,11 @@
     // leader.
     const bool isRelevantScope = m_election.isLeader() != (heartbeat.load.scope == load_scope::fleet);
     const bool isPreferredSource = heartbeat.load.scope == load_scope::router || m_election.isPreferredLeader(heartbeat.name, at);
-    m_serving.post(entry_event::load_update_received {heartbeat.load, isRelevantScope && isPreferredSource, isRelevantScope});
+    std::string covers;
+    if (heartbeat.load.scope != load_scope::router) {
+        covers = heartbeat.load.scope == load_scope::fleet ? "fleet" : "domain/" + m_election.domainOf(heartbeat.name);
+    }
+    m_serving.post(entry_event::load_update_received {heartbeat.load, isRelevantScope && isPreferredSource, isRelevantScope, covers});
     if (!heartbeat.evidence.empty()) {
         m_serving.post(entry_event::part_evidence_received {heartbeat.evidence});
     }
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -620,7 +620,8 @@
 void entry_core::on(time_point now, const entry_event::load_update_received &input, std::vector<effect> &)
 {
     m_upstreams.applyUpdate(input.update, input.isCounted, now);
-    m_rollouts.applyUpdate(input.update, input.isCounted, input.isSubstitute, now);
+    m_rollouts.applyUpdate(input.update, input.isCounted, input.isSubstitute, input.covers.empty() ? input.update.source : input.covers,
+                           now);
 }
 
 void entry_core::detectPause(time_point now, std::vector<effect> &effects)
--- a/src/leader_election.cpp
+++ b/src/leader_election.cpp
@@ -101,6 +101,12 @@
     return m_isLeader != before;
 }
 
+std::string leader_election::domainOf(std::string_view name) const
+{
+    const auto domain = m_domainOf.find(name);
+    return domain == m_domainOf.end() ? std::string() : domain->second;
+}
+
 bool leader_election::isPreferredLeader(std::string_view name, time_point now) const
 {
     const auto leader = m_leaders.find(name);
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -624,7 +624,7 @@
     }
 }
 
-void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, time_point now)
+void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, const std::string &covers, time_point now)
 {
     for (auto &[service, rollout] : m_rollouts) {
         const std::uint32_t key = shortHash(service);
@@ -638,11 +638,12 @@
         if (rollout.fault == rollout_fault::none && isOpen(rollout.state)) {
             rollout.fault = found->fault;
         }
-        const auto known = rollout.fromPeers.find(update.source);
-        const bool hasCounted = known != rollout.fromPeers.end() && !known->second.isSubstitute
-                                && now - known->second.receivedAt < limits::loadUpdateLifetime;
-        if (isCounted || (isSubstitute && !hasCounted)) {
-            rollout.fromPeers[update.source] = {update.scope, *found, now, !isCounted};
+        const auto known = rollout.fromPeers.find(covers);
+        // A substitute neither replaces a counted update nor alternates with another substitute.
+        const bool isCovered = known != rollout.fromPeers.end() && now - known->second.receivedAt < limits::loadUpdateLifetime
+                               && !(known->second.isSubstitute && known->second.source == update.source);
+        if (isCounted || (isSubstitute && !isCovered)) {
+            rollout.fromPeers[covers] = {update.scope, *found, now, update.source, !isCounted};
         }
     }
 }
--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -241,7 +241,7 @@
                     load_update update;
                     update.source = from.name;
                     update.rollouts = from.control->ownCounts(now);
-                    to.control->applyUpdate(update, true, false, now);
+                    to.control->applyUpdate(update, true, false, from.name, now);
                 }
             }
         }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -357,6 +357,45 @@
     BOOST_TEST(fleet.refused == 0U);
 }
 
+// Guards against answers and routers that count twice, because two leaders report them or another leader takes over, so that a version is
+// judged on half the answers that a verdict needs, and old upstreams are stopped before all routers have shifted.
+BOOST_AUTO_TEST_CASE(countsOfOneDomain_fromTwoLeaders_countOnce)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    std::vector<rollout_control::effect> effects;
+    time_point now {1h};
+    rollout_order order;
+    order.service = "desk";
+    order.target = "v2";
+    order.ramp = 12s;
+    order.id = 1ULL << 32;
+    control.takeOrder(order, now, effects);
+    const auto counted = [&] { return control.sumOfCounts(load_scope::fleet, now).front(); };
+    const auto tell = [&](const std::string &leader, std::uint32_t answers, bool isCounted) {
+        load_update update;
+        update.source = leader;
+        update.scope = load_scope::domain;
+        update.rollouts = control.ownCounts(now);
+        update.rollouts.front().routersShifted = 2;
+        update.rollouts.front().routes = {{7, {answers, 0, 0, 0, 0}, {}}};
+        control.applyUpdate(update, isCounted, true, "domain/north", now);
+    };
+    tell("leader-1", 100, true);
+    tell("leader-2", 90, false);
+    BOOST_TEST(counted().routersShifted == 2U);
+    BOOST_TEST(counted().routes.front().base.answers == 100U);
+    now += 200ms;
+    tell("leader-2", 120, true); // it has become the preferred leader
+    tell("leader-1", 110, false);
+    BOOST_TEST(counted().routersShifted == 2U);
+    BOOST_TEST(counted().routes.front().base.answers == 120U);
+    now += limits::loadUpdateLifetime; // neither is preferred any longer: one stands in, and the other does not alternate with it
+    tell("leader-1", 130, false);
+    tell("leader-2", 125, false);
+    BOOST_TEST(counted().routersShifted == 2U);
+    BOOST_TEST(counted().routes.front().base.answers == 130U);
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
