Rollouts: a service has old upstreams as soon as one is listed

Cause: a router that heard of an order before any upstream took the service for one without an old version until its next tick, and gave the new version all requests. Change: the filter looks at the listed upstreams, not only at the state of the last tick.

--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -330,7 +330,7 @@
     const std::string base = baseVersion(rollout);
     switch (rollout.state) {
     case rollout_state::trial:
-        if (!rollout.hadBase) {
+        if (!rollout.hadBase && !hasBase(rollout)) {
             filters.push_back(any());
             break;
         }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -65,6 +65,24 @@
     return fleet;
 }
 
+rollout_order plainOrder()
+{
+    rollout_order order;
+    order.service = "desk";
+    order.target = "v2";
+    order.ramp = 12s;
+    order.id = 1ULL << 32;
+    order.revision = store_revision(4);
+    return order;
+}
+
+/// Whether requests may use a version before all others, whatever the instance.
+bool isFirstChoice(const rollout_control &control, const std::string &version, time_point now)
+{
+    const version_filters filters = control.filtersFor("desk", now);
+    return filters.empty() || filters.front().allows(version, hashText("new-0"));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(rollout)
@@ -364,12 +382,7 @@
     rollout_control control(rollout_bounds {}, "self");
     std::vector<rollout_control::effect> effects;
     time_point now {1h};
-    rollout_order order;
-    order.service = "desk";
-    order.target = "v2";
-    order.ramp = 12s;
-    order.id = 1ULL << 32;
-    control.takeOrder(order, now, effects);
+    control.takeOrder(plainOrder(), now, effects);
     const auto counted = [&] { return control.sumOfCounts(load_scope::fleet, now).front(); };
     const auto tell = [&](const std::string &leader, std::uint32_t answers, bool isCounted) {
         load_update update;
@@ -396,6 +409,19 @@
     BOOST_TEST(counted().routes.front().base.answers == 130U);
 }
 
+// Guards against a router that hears of the order first, then of the new upstreams, and treats the service as one without old ones.
+BOOST_AUTO_TEST_CASE(order_knownBeforeAnyUpstream_boundsTheNewVersionAtOnce)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    std::vector<rollout_control::effect> effects;
+    const time_point now {1h};
+    control.takeOrder(plainOrder(), now, effects);
+    control.listUpstream(rollout_fleet::upstream("new-0", "v2"), now);
+    BOOST_TEST(isFirstChoice(control, "v2", now));
+    control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+    BOOST_TEST(!isFirstChoice(control, "v2", now));
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
