Rollouts: a new version with more upstreams than the old one is held back too

Cause: until its order is known, a new version is held back, except the version of most upstreams. With more new upstreams than old ones that was the new version, which got a full share. Change: the version of most upstreams is used only where no version is familiar. Figures, before: upstreamsOfANewVersion_moreThanOldOnes_areHeldBackUntilTheOrderIsKnown: "check !isFirstChoice(control, "v2", now) has failed"; after the whole series: test_rollout, 27 cases, no errors.

--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -304,7 +304,7 @@
     }
     const auto found = m_rollouts.find(service);
     if (found == m_rollouts.end()) {
-        // An order may exist that this router does not know yet. The version of most upstreams serves in any case.
+        // An order may exist that this router does not know yet. Where no version is familiar, that of most upstreams serves.
         version_filter familiar;
         std::string most;
         std::size_t count = 0;
@@ -319,7 +319,9 @@
             }
         }
         if (familiar.versions.size() < versions.size()) {
-            familiar.versions.push_back(most);
+            if (familiar.versions.empty()) {
+                familiar.versions.push_back(most);
+            }
             filters.push_back(std::move(familiar));
             filters.push_back(any());
         }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -422,6 +422,20 @@
     BOOST_TEST(!isFirstChoice(control, "v2", now));
 }
 
+// Guards against new upstreams that outnumber the old ones, and are used fully until the order is known.
+BOOST_AUTO_TEST_CASE(upstreamsOfANewVersion_moreThanOldOnes_areHeldBackUntilTheOrderIsKnown)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    const time_point now {1h};
+    control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+    control.verify(store_revision(5));
+    for (const char *name : {"new-0", "new-1"}) {
+        control.listUpstream({name, "desk", "v2", "domain", 64, false, store_revision(9)}, now);
+    }
+    BOOST_TEST(!isFirstChoice(control, "v2", now));
+    BOOST_TEST(isFirstChoice(control, "v1", now));
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
