Rollouts: an order that comes back goes on from its state

Cause: an order that was removed and came back with the same identity, as after a store forgot it, was on trial until the next tick in spite of a verdict; with the phase shift in its status it stayed withdrawn for good. Change: a verdict and the phase are taken over.

--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -194,6 +194,7 @@
 
 void rollout_control::adoptStatus(service_rollout &rollout, std::vector<effect> &effects)
 {
+    const bool isBad = rollout.fault != rollout_fault::none;
     switch (rollout.order.status) {
     case rollout_status::completed:
         setState(rollout, rollout_state::completed, effects);
@@ -202,13 +203,13 @@
         setState(rollout, rollout_state::rolledBack, effects);
         break;
     case rollout_status::shift:
-        if (isOpen(rollout.state) && rollout.state != rollout_state::suspected) {
-            setState(rollout, rollout_state::shift, effects);
+        if (isOpen(rollout.state) || rollout.state == rollout_state::withdrawn) {
+            setState(rollout, isBad ? rollout_state::suspected : rollout_state::shift, effects);
         }
         break;
     default:
         if (rollout.state == rollout_state::withdrawn) {
-            setState(rollout, rollout_state::trial, effects);
+            setState(rollout, isBad ? rollout_state::suspected : rollout_state::trial, effects);
         }
         break;
     }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -436,6 +436,35 @@
     BOOST_TEST(isFirstChoice(control, "v1", now));
 }
 
+// Guards against an order that comes back after a store forgot it, and then gets requests in spite of a verdict, or is never completed.
+BOOST_AUTO_TEST_CASE(withdrawnOrder_comesBack_goesOnFromItsState)
+{
+    std::vector<rollout_control::effect> effects;
+    const time_point now {1h};
+    for (const bool isBad : {false, true}) {
+        rollout_control control(rollout_bounds {}, "self");
+        control.verify(store_revision(3));
+        control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+        control.listUpstream(rollout_fleet::upstream("new-0", "v2"), now);
+        rollout_order order = plainOrder();
+        control.takeOrder(order, now, effects);
+        load_update update;
+        update.source = "other";
+        update.rollouts = control.ownCounts(now);
+        update.rollouts.front().fault = isBad ? rollout_fault::failures : rollout_fault::none;
+        control.applyUpdate(update, true, false, "other", now);
+        control.tick(now, {}, effects);
+        control.withdraw("desk", effects);
+        control.takeOrder(order, now, effects);
+        BOOST_TEST(isFirstChoice(control, "v2", now) == !isBad);
+        control.withdraw("desk", effects);
+        order.status = rollout_status::shift;
+        control.takeOrder(order, now, effects);
+        BOOST_TEST(isFirstChoice(control, "v2", now) == !isBad);
+        BOOST_TEST((control.reports(now).front().state == (isBad ? rollout_state::suspected : rollout_state::shift)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
