Rollouts: attempts that reach no upstream do not raise the quota

Cause: each attempt raised the quota of the new version, also one at an old upstream that could not be reached. The bound is a share of the requests that upstreams receive. Change: such an attempt is taken back. One at the new version stays counted.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -565,6 +565,8 @@
     /// False if rollouts no longer allow an upstream that was chosen a moment ago.
     bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const;
     void noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice);
+    /// Takes the start of an attempt back whose upstream could not be reached.
+    void noteVersionUnreachable(const exchange &work, attempt_failure failure);
     /// Counts the outcome of the running attempt for the version of its upstream, once.
     void countVersionAnswer(time_point now, exchange &work, answer_quality quality);
     void updateRollouts(time_point now, std::vector<effect> &effects);
--- a/include/nutmegtally/rollout_control.h
+++ b/include/nutmegtally/rollout_control.h
@@ -132,6 +132,9 @@
     /// Counts an attempt that is being sent.
     void recordStart(const std::string &service, std::string_view version);
 
+    /// Takes an attempt back that never reached its upstream: the bound is a share of the requests that upstreams receive.
+    void recordUnreachable(const std::string &service, std::string_view version);
+
     /// Counts an answer, or the break of one that was counted as good.
     /// @param upstream Hash of the instance's name.
     /// @param slowness Time of a good answer divided by its expected time; nothing if it does not count.
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -520,6 +520,7 @@
     if (wasSent) {
         countVersionAnswer(now, work, input.failure == attempt_failure::damaged ? answer_quality::bad : answer_quality::broken);
     }
+    noteVersionUnreachable(work, input.failure);
     checkUpstream(work, input.failure, effects);
     endAttempt(now, work, wasSent ? attempt_result::lost : attempt_result::unreachable);
     work.state = phase::waiting;
--- a/src/entry_core_rollouts.cpp
+++ b/src/entry_core_rollouts.cpp
@@ -45,6 +45,14 @@
     m_rollouts.recordStart(work.service, upstream.record.version);
 }
 
+void entry_core::noteVersionUnreachable(const exchange &work, attempt_failure failure)
+{
+    const upstream_entry *upstream = m_upstreams.find(work.upstream);
+    if (failure == attempt_failure::unreachable && upstream != nullptr) {
+        m_rollouts.recordUnreachable(work.service, upstream->record.version);
+    }
+}
+
 void entry_core::countVersionAnswer(time_point now, exchange &work, answer_quality quality)
 {
     const upstream_entry *upstream = m_upstreams.find(work.upstream);
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -390,6 +390,15 @@
     found->second.targetStarts += version == found->second.order.target ? 1 : 0;
 }
 
+void rollout_control::recordUnreachable(const std::string &service, std::string_view version)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end() || version == found->second.order.target) {
+        return; // an attempt at the target version stays counted: it may have got there
+    }
+    found->second.starts -= found->second.starts > 0 ? 1 : 0;
+}
+
 void rollout_control::recordAnswer(const std::string &service, std::string_view version, std::uint64_t upstream, std::string_view route,
                                    answer_quality quality, std::optional<double> slowness, bool wasGood, time_point now)
 {
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -465,6 +465,26 @@
     }
 }
 
+// Guards against a quota that grows with attempts at old upstreams which nobody receives.
+BOOST_AUTO_TEST_CASE(quota_oldUpstreamsAreUnreachable_doesNotGrow)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    std::vector<rollout_control::effect> effects;
+    const time_point now {1h};
+    control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+    control.listUpstream(rollout_fleet::upstream("new-0", "v2"), now);
+    control.takeOrder(plainOrder(), now, effects);
+    for (unsigned i = 0; i < 100; ++i) {
+        control.recordStart("desk", "v1");
+        control.recordUnreachable("desk", "v1");
+    }
+    BOOST_TEST(!isFirstChoice(control, "v2", now));
+    for (unsigned i = 0; i < 100; ++i) {
+        control.recordStart("desk", "v1");
+    }
+    BOOST_TEST(isFirstChoice(control, "v2", now));
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
