Rollouts: a version without answers is not found good where there is traffic

Cause: the rule for services with little traffic, that a version without bad answers is good, applied to all services. Where the upstreams on trial were out of reach or answered nothing, the version got all requests on no evidence. Change: the rule does not apply if the base version has so many answers that a trial brings the target its minimum.

--- a/include/nutmegtally/rollout_judge.h
+++ b/include/nutmegtally/rollout_judge.h
@@ -16,6 +16,7 @@
     rollout_fault fault = rollout_fault::none;
     std::uint32_t route = 0; // hash of the route that shows the fault; 0 for all routes together
     bool isGood = false; // enough answers, and none of the comparisons is suspicious
+    bool isStarved = false; // too few answers for isGood, although the base version has enough for a trial to bring them
     bool isSuspicious = false; // worse than the base version, but not beyond doubt
     version_counts base; // that the fault was found in
     version_counts target;
--- a/src/limits.h
+++ b/src/limits.h
@@ -244,6 +244,9 @@
 inline constexpr double rolloutSuspicionZ = 3; // a version this much worse is not found good yet
 inline constexpr std::uint32_t minRolloutAnswers = 20; // of a version that is found good
 inline constexpr std::uint32_t minRolloutRouteAnswers = 3; // of it on each route with minRolloutBaseAnswers
+// Of the base version's answers, that a version on trial has at least. A trial brings about 0.08; at less than 0.03, more than chance
+// keeps requests from it, and the lack of bad answers shows nothing.
+inline constexpr double minTrialAnswerShare = 0.03;
 inline constexpr std::uint32_t minRolloutBaseAnswers = 20; // of the base version in a window; with fewer, all since the order count
 inline constexpr double slowAnswerFactor = 2.5; // of the base version's usual time on the route
 inline constexpr std::uint32_t minUsualTimeAnswers = 12; // of the base version on a route, for its usual time
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -551,7 +551,7 @@
                                 && !m_closedDomains.contains(upstream.domain);
             slots += counts ? upstream.slots : 0;
         }
-        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious);
+        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious && !rollout.verdict.isStarved);
         const bool isDue = ageOf(rollout, now) >= shiftAge(rollout, sums);
         const bool hasRoom = slots > 0 && slots >= rollout.inFlight;
         return isFound && isDue && hasRoom ? rollout_status::shift : rollout_status::none;
--- a/src/rollout_judge.cpp
+++ b/src/rollout_judge.cpp
@@ -128,6 +128,23 @@
     return answers >= limits::minRolloutAnswers;
 }
 
+/// True if the target version lacks answers that a trial brings where the base version has as many as it has.
+bool isStarved(const std::vector<route_counts> &sums)
+{
+    const auto lacks = [](std::uint32_t target, std::uint32_t base, std::uint32_t wanted) {
+        return target < wanted && limits::minTrialAnswerShare * base >= wanted;
+    };
+    version_counts base;
+    version_counts target;
+    bool isRouteStarved = false;
+    for (const route_counts &each : sums) {
+        add(base, each.base);
+        add(target, each.target);
+        isRouteStarved = isRouteStarved || lacks(each.target.answers, each.base.answers, limits::minRolloutRouteAnswers);
+    }
+    return isRouteStarved || lacks(target.answers, base.answers, limits::minRolloutAnswers);
+}
+
 } // namespace
 
 void addRouteCounts(std::vector<route_counts> &sums, const std::vector<route_counts> &more)
@@ -182,6 +199,7 @@
         judgeSpan(verdict, window, whole);
     }
     judgeSpan(verdict, whole, whole);
+    verdict.isStarved = isStarved(whole);
     verdict.isGood = verdict.fault == rollout_fault::none && !verdict.isSuspicious && hasEnoughAnswers(whole);
     return verdict;
 }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -485,6 +485,20 @@
     BOOST_TEST(isFirstChoice(control, "v2", now));
 }
 
+// Guards against a version that is found good although it has answered nothing, because its upstreams on trial are out of reach.
+BOOST_AUTO_TEST_CASE(versionWithoutAnswers_ofAServiceWithMuchTraffic_isNotFoundGood)
+{
+    rollout_fleet fleet(8);
+    fleet.answer = [](const versioned_upstream &upstream, const std::string &, unsigned) {
+        return outcome {answer_quality::good, upstream.version == "v2" ? 1h : 50ms};
+    };
+    fleet.run(2s);
+    fleet.writeOrder();
+    fleet.run(14s);
+    BOOST_TEST((fleet.order->status == rollout_status::trial));
+    BOOST_TEST(fleet.exposureAboveBound() <= 0);
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
