Rollouts: a permit is not used after the order has moved on

Cause: a request that waited for the permit of an old upstream was sent there although all requests had moved to the new version meanwhile, because the old one is still allowed as the second choice. The old upstreams may stop then. Change: when the permit comes, the upstream must still be of the versions that go first.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -563,7 +563,7 @@
     /// As upstream_set::choose(), among the versions that rollouts allow.
     placement chooseAllowed(time_point now, placement_query &wanted, const exchange &work);
     /// False if rollouts no longer allow an upstream that was chosen a moment ago.
-    bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const;
+    bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream);
     void noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice);
     /// Takes the start of an attempt back whose upstream could not be reached.
     void noteVersionUnreachable(const exchange &work, attempt_failure failure);
--- a/src/entry_core_rollouts.cpp
+++ b/src/entry_core_rollouts.cpp
@@ -27,13 +27,28 @@
     return choice;
 }
 
-bool entry_core::mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const
+bool entry_core::mayUseVersion(time_point now, const exchange &work, upstream_number upstream)
 {
     const upstream_entry *state = m_upstreams.find(upstream);
     const version_filters filters = m_rollouts.filtersFor(work.service, now);
-    return state != nullptr && (filters.empty() || std::any_of(filters.begin(), filters.end(), [state](const version_filter &each) {
-                                    return each.allows(state->record.version, state->hash);
-                                }));
+    if (state == nullptr || filters.empty()) {
+        return state != nullptr;
+    }
+    for (const version_filter &each : filters) {
+        if (each.allows(state->record.version, state->hash)) {
+            return true;
+        }
+        placement_query preferred;
+        preferred.service = work.service;
+        preferred.tried = &work.tried;
+        preferred.versions = &each;
+        const placement_outcome outcome = m_upstreams.choose(preferred, *work.rules, now).outcome;
+        const bool hasNone = outcome == placement_outcome::noneListed || outcome == placement_outcome::allTried;
+        if (!hasNone && !each.yieldsWhenFull) {
+            return false; // the choice was made before an order, a status or an upstream came
+        }
+    }
+    return false;
 }
 
 void entry_core::noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice)
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -668,4 +668,42 @@
     BOOST_TEST(sentTo() == "desk-0");
 }
 
+// Guards against a request that waits for a permit at an old upstream when the order moves on, and is sent there afterwards: the old
+// upstreams may stop at any time then.
+BOOST_AUTO_TEST_CASE(permit_grantedAfterAllRequestsMovedToANewVersion_isNotUsed)
+{
+    core = entry_core(entry_options {"self", "domain", {}, false, {}, rollout_bounds {}});
+    start(0, 0);
+    apply(entry_event::routers_changed {{"self", "other"}});
+    const auto listVersion = [&](const std::string &instance, const std::string &version) {
+        upstream_record listed = record(instance, "desk", 6);
+        listed.version = version;
+        apply(entry_event::upstream_listed {listed});
+    };
+    entry_event::limits_received stated;
+    for (unsigned i = 0; i < 8; ++i) {
+        listVersion("old-" + std::to_string(i), "v1");
+        stated.statements.push_back({limitedUpstreamOf("old-" + std::to_string(i), 0), 50.0, 0ms});
+    }
+    apply(stated);
+    std::optional<permit_request> asked;
+    for (unsigned i = 0; i < 20 && !asked; ++i) {
+        request("booking");
+        if (const auto *message = effect<entry_effect::send_permit_message>()) {
+            asked = std::get<permit_request>(message->message);
+        }
+    }
+    BOOST_REQUIRE(asked.has_value());
+    rollout_order order;
+    order.service = "desk";
+    order.target = "v2";
+    order.ramp = 12s;
+    order.id = 1ULL << 32;
+    order.status = rollout_status::shift;
+    apply(entry_event::rollout_ordered {order});
+    listVersion("new-0", "v2");
+    apply(entry_event::permit_answered {{asked->number, asked->statement, true, 0ms, asked->claim}});
+    BOOST_TEST(sentTo() == "new-0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
