--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -7,6 +7,7 @@
 #include "platform/request_codec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 namespace
 {
@@ -87,6 +88,80 @@
     BOOST_TEST(affinityKeyOf(request.parts) == 0x91bd3f06U);
 }
 
+// Guards against a status of an earlier order, or one that nobody can have written, that ends the order in force.
+BOOST_AUTO_TEST_CASE(decodeRollout_anyStatus_isReadIfItIsOfTheTarget)
+{
+    std::string reason;
+    stored_object object {"desk", 9, R"({"service":"desk","target":"v2","ramp_s":12.5})"};
+    object.createdAt = 7;
+    const auto statusOf = [&](const std::string &status) {
+        object.status = status;
+        const auto order = platform::decodeRollout(object, reason);
+        return order ? nameOf(order->status) : std::string_view("unreadable");
+    };
+    BOOST_TEST(statusOf("") == "none");
+    BOOST_TEST(statusOf("null") == "none");
+    BOOST_TEST(statusOf(R"({"state":"running","target":"v2"})") == "trial");
+    BOOST_TEST(statusOf(R"({"state":"running","target":"v2","phase":"trial"})") == "trial");
+    BOOST_TEST(statusOf(R"({"state":"running","target":"v2","phase":"shift"})") == "shift");
+    BOOST_TEST(statusOf(R"({"state":"completed","target":"v2"})") == "completed");
+    BOOST_TEST(statusOf(R"({"state":"rolled_back","target":"v2"})") == "rolled_back");
+    BOOST_TEST(statusOf(R"({"state":"completed","target":"v1"})") == "none");
+    BOOST_TEST(statusOf(R"({"state":"rolled_back"})") == "none");
+    BOOST_TEST(statusOf(R"({"state":"shift","target":"v2","phase":"shift"})") == "none");
+    BOOST_TEST(statusOf(R"({"state":7,"target":"v2"})") == "none");
+    BOOST_TEST(statusOf("[]") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(decodeRollout_orders_areReadOrNamedUnreadable)
+{
+    std::string reason;
+    const auto decode = [&](const std::string &spec, std::uint64_t createdAt = 7) {
+        stored_object object {"desk", 9, spec};
+        object.createdAt = createdAt;
+        reason.clear();
+        return platform::decodeRollout(object, reason);
+    };
+    const std::string valid = R"({"service":"desk","target":"v2","ramp_s":12.5})";
+    const auto order = decode(valid);
+    BOOST_REQUIRE(order.has_value());
+    BOOST_TEST(order->service == "desk");
+    BOOST_TEST(order->target == "v2");
+    BOOST_TEST((order->ramp == 12500ms));
+    BOOST_TEST((order->revision == store_revision(9)));
+    BOOST_TEST(decode(valid)->id == order->id);
+    BOOST_TEST(decode(valid, 8)->id != order->id);
+    BOOST_TEST(decode(R"({"service":"desk","target":"v3","ramp_s":12.5})")->id != order->id);
+    BOOST_TEST(decode(R"({"service":"desk","target":"v2","ramp_s":13})")->id != order->id);
+    for (const char *invalid : {"", "{}", "null", R"({"service":"desk","target":"v2"})", R"({"service":"desk","target":"v2","ramp_s":0})",
+                                R"({"service":"desk","target":"v2","ramp_s":-1})", R"({"service":"desk","target":"v2","ramp_s":1e300})",
+                                R"({"service":"desk","target":"v2","ramp_s":"12"})", R"({"service":"desk","target":"","ramp_s":12})",
+                                R"({"service":"desk","target":2,"ramp_s":12})", R"({"service":"llm","target":"v2","ramp_s":12})",
+                                R"({"target":"v2","ramp_s":12})"}) {
+        BOOST_TEST(!decode(invalid).has_value(), invalid);
+        BOOST_TEST(!reason.empty(), invalid);
+    }
+}
+
+// Guards against a status that other routers or the platform can't read.
+BOOST_AUTO_TEST_CASE(encodeRolloutStatus_anyStatus_isReadBack)
+{
+    std::string reason;
+    stored_object object {"desk", 9, R"({"service":"desk","target":"v2","ramp_s":12})"};
+    const auto order = platform::decodeRollout(object, reason);
+    BOOST_REQUIRE(order.has_value());
+    const auto written = [&](rollout_status status) { return nlohmann::json::parse(platform::encodeRolloutStatus(*order, status)); };
+    BOOST_TEST(written(rollout_status::completed)
+               == nlohmann::json::parse(R"({"metadata":{"name":"desk","revision":9},"status":{"state":"completed","target":"v2"}})"));
+    BOOST_TEST(written(rollout_status::shift).at("status")
+               == nlohmann::json::parse(R"({"state":"running","target":"v2","phase":"shift"})"));
+    for (const rollout_status each :
+         {rollout_status::trial, rollout_status::shift, rollout_status::completed, rollout_status::rolledBack}) {
+        object.status = written(each).at("status").dump();
+        BOOST_TEST((platform::decodeRollout(object, reason)->status == each));
+    }
+}
+
 // Guards against every key being let in once the last account was removed.
 BOOST_AUTO_TEST_CASE(decodeRules_emptyListOfAccounts_needsKeysThatNobodyHas)
 {
@@ -446,6 +521,16 @@
     BOOST_CHECK_THROW(decodeSnapshot("{}"), std::exception);
 }
 
+// Guards against routers that are cut off from the store and take an order for a new one, or miss its status.
+BOOST_AUTO_TEST_CASE(snapshot_ofRollouts_keepsStatusAndCreation)
+{
+    stored_object order {"desk", {2, 9}, R"({"service":"desk"})"};
+    order.status = R"({"state":"completed","target":"v2"})";
+    order.createdAt = 7;
+    const kind_snapshot sent {"rollouts", {{}, {2, 9}, {order, {"other", {2, 8}, "{}"}}, {}, 0ms}};
+    BOOST_TEST((decodeSnapshot(encodeSnapshot(sent)).state.objects == sent.state.objects));
+}
+
 BOOST_AUTO_TEST_CASE(splitMessageParts_truncatedBody_throws)
 {
     const std::vector<std::string> parts {"", "one", std::string(300, 'x')};
@@ -507,6 +592,20 @@
     BOOST_CHECK_THROW(decodeDatagram("\x93garbage", 8), std::exception);
 }
 
+// Guards against a field that is lost or cut short between routers, so that a version is judged on wrong sums.
+BOOST_AUTO_TEST_CASE(heartbeat_withRolloutCounts_keepsAllFields)
+{
+    router_heartbeat sent;
+    sent.name = "a";
+    rollout_counts counts {0xfffffffe, 0x80000001, 12345ms, rollout_fault::slow, 300, 70000, 1h, {}};
+    counts.routes.push_back({0xfffffffd, {70001, 3, 70000, 4, 12.5}, {5, 6, 7, 8, -0.25}});
+    counts.routes.push_back({1, {}, {1, 0, 1, 0, -1000}});
+    sent.load.rollouts = {counts, rollout_counts {}};
+    const std::string bytes = encodeHeartbeat(sent);
+    const auto read = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
+    BOOST_TEST((read.load.rollouts == sent.load.rollouts));
+}
+
 BOOST_AUTO_TEST_CASE(permitMessage_roundTrip_keepsAllFields)
 {
     const permit_request asked {1ULL << 40, {{7, 8}, 0.5, 12ms}, {-1, 0xffffffff}};
