Soak: rollouts among the other faults

Orders for the service desk with upstreams of good and bad versions, written at random times. Checked: what a version got against the bounds, final statuses, requests at old upstreams on completion, and that undisturbed routers answer every request. Three faults that can be put in show that the checks work.

--- a/tests/entry_fleet.py
+++ b/tests/entry_fleet.py
@@ -111,13 +111,20 @@
         self.store.put("servers", name, self.entries[name])
         return upstream
 
+    def remove_upstream(self, name: str) -> None:
+        """Ends an upstream. What it received stays readable in `upstreams`."""
+        del self.entries[name]
+        self.proxies[name].close()
+        self.store.delete("servers", name)
+
     def configure(self, **more) -> int:
         self.version += self.rng.randint(1, 3)
         self.store.put("config", "main", configuration(self.version, **more))
         return self.version
 
     def set_state(self, name: str, state: str) -> None:
-        entry = self.entries[name]
+        if (entry := self.entries.get(name)) is None:
+            return  # it has ended
         restarts = entry["state"] == "draining" and state == "ready"  # a server that drains exits; its next start has another "born"
         changes = {"born": entry["born"] + 1, "sequence": 1} if restarts else {"sequence": entry["sequence"] + 1}
         self.entries[name] = {**entry, "state": state, **changes}
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -72,6 +72,16 @@
     sock.close()
 
 
+def is_open(sock) -> bool:
+    """Whether the other side of a connection has not ended it."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
 class Store:
     """The object API: lists and watches, with a revision counter over all objects."""
 
@@ -129,12 +139,18 @@
                 self.revision += 1
                 self.statuses.append((time.monotonic(), name, call["status"]))
                 self.store_object(kind, {**known, "metadata": {**known["metadata"], "revision": self.revision}, "status": call["status"]})
-            on_status = self.on_status
+                on_status = self.on_status
+            else:
+                on_status = None
             answer = 200, self.objects[kind, name]
         if on_status:
             on_status(name, call["status"])
         return answer
 
+    def overwrite_status(self, kind: str, name: str, status) -> None:
+        """PUT of a status without a condition, as by somebody else than the routers."""
+        self.replace_status(kind, name, json.dumps({"metadata": {}, "status": status}).encode())
+
     def delete(self, kind: str, name: str) -> None:
         with self.lock:
             self.written.add((kind, name))
@@ -244,6 +260,7 @@
         self.event_gap_s = 0.01
         self.fault_of = None  # called with the target and the number of running requests; returns a fault that goes before `fault`
         self.running = 0
+        self.active = set()  # connections of the running requests
         self.deadly_part = None  # a prompt part on which it crashes when it begins an answer
         self.crash = None  # called then
         upstream = self
@@ -264,11 +281,18 @@
     def serve(self, sock, method, target, headers, body) -> bool:
         with self.lock:
             self.running += 1
+            self.active.add(sock)
         try:
             return self.answer(sock, method, target, headers, body)
         finally:
             with self.lock:
                 self.running -= 1
+                self.active.discard(sock)
+
+    def open_requests(self) -> int:
+        """Number of running requests that the other side has not given up."""
+        with self.lock:
+            return sum(is_open(sock) for sock in self.active)
 
     def answer(self, sock, method, target, headers, body) -> bool:
         request_id = headers.get("x-request-id", "")
@@ -384,7 +408,10 @@
 
     def close(self) -> None:
         """Refuses connections from now on, as a process that has ended."""
-        self.server.socket.shutdown(socket.SHUT_RDWR)
+        try:
+            self.server.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return  # it has ended already
         threading.Thread(target=self.server.shutdown, daemon=True).start()
         self.reset_all()
 
--- a/tests/soak_entry.py
+++ b/tests/soak_entry.py
@@ -3,6 +3,7 @@
 in REGRESSIONS and run first."""
 
 import argparse
+import contextlib
 import json
 import pathlib
 import random
@@ -11,10 +12,12 @@
 import threading
 import time
 
+import soak_rollouts
 from entry_fleet import Fleet, exchange, request_headers, send_request
 
 REGRESSIONS = {301: "a watch whose connection went silent ran for 26 s at every router"}  # cause by seed
 LEAVING_LIMIT_S = 3.0  # a leaving upstream or closed domain gets no new requests after this time
+RESTART_S = 3.0  # after which a router that was stopped serves again
 SETTLE_S = 5.0  # recovery time after the last fault; then every request must succeed
 
 
@@ -27,6 +30,9 @@
     "unasked-run": "ran, and no caller sent it",
     "work-after-drain": "requests 3.0 s after it was closed",
     "old-configuration": "expected 200",
+    "second-status": "both completed and rolled back",
+    "forgotten-bound": "beyond the bound",
+    "no-answer": "left without an answer",
 }
 
 
@@ -38,13 +44,15 @@
     def __init__(self, binary: pathlib.Path, seed: int, seconds: float, spoil: str = ""):
         self.seed, self.seconds, self.spoil = seed, seconds, spoil
         self.rng = random.Random(seed)
-        self.fleet = Fleet(binary, routers=3, engines=3, desks=3, seed=seed)
+        self.fleet = Fleet(binary, routers=3, engines=3, desks=3, seed=seed, more_settings=soak_rollouts.SETTINGS)
         self.lock = threading.Lock()
         self.drill = threading.Lock()
         self.stop = threading.Event()
         self.failures = []
         self.outcomes = {}  # (kind, status) by request id
         self.counts = {}
+        self.rollouts = []
+        self.disturbed = {}  # by router name, entries of [begin, end] of times when its process was stopped
         self.terminating = {}  # time of SIGTERM or SIGKILL by router name
         self.history = []
 
@@ -63,6 +71,7 @@
         sent = 0
         while not self.stop.is_set():
             sent += 1
+            sent_at = time.monotonic()
             request_id = f"r{number}-{sent}"
             kind = rng.choice(("booking", "booking", "read", "stream-brief", "stream-reply"))
             try:
@@ -74,17 +83,44 @@
                 status, answer, body = exchange(sock, "POST", f"/{kind}/1", headers, b"x")
                 status, answer, body = self.apply_spoil(request_id, kind, status, answer, body)
                 self.check_answer(request_id, kind, status, answer, body, router)
+                if status == 0 and not answer:
+                    raise ConnectionError("no answer")
                 if status == 0 or answer.get("connection") == "close" or rng.random() < 0.05:
                     sock.close()
                     sock = None
-            except (OSError, ValueError):
+            except (OSError, ValueError) as fault:
                 with self.lock:
                     self.outcomes[request_id] = (kind, 0)
+                if not self.was_disturbed(router.name, sent_at):
+                    self.fail(f"{request_id} ({kind}): left without an answer by {router.name}, {fault!r}")
                 if sock is not None:
                     sock.close()
                 sock = None
             time.sleep(rng.uniform(0.0, 0.03))
 
+    @contextlib.contextmanager
+    def disturbance(self, router):
+        span = [time.monotonic(), float("inf")]
+        self.disturbed.setdefault(router.name, []).append(span)
+        yield
+        span[1] = time.monotonic()
+
+    def was_disturbed(self, name: str, since: float) -> bool:
+        """Whether a request to a router that began at a time may have met its end, its start or a pause."""
+        return any(end >= since - RESTART_S for _, end in self.disturbed.get(name, []))
+
+    def run_rollouts(self, rng) -> None:
+        """Writes one order after the other."""
+        time.sleep(rng.uniform(0, 1))
+        while not self.rollouts or time.monotonic() < self.begin + self.seconds - 6:
+            self.rollouts.append(soak_rollouts.Rollout(self, len(self.rollouts) + 1, rng))
+            self.rollouts[-1].run()
+            time.sleep(rng.uniform(0, 2))
+
+    def set_state(self, name: str, state: str) -> None:
+        with self.lock:
+            self.fleet.set_state(name, state)
+
     def send_to_upstream(self, name: str, request_id: str, path: str) -> None:
         upstream = self.fleet.upstreams[name]
         upstream.fault = None
@@ -92,8 +128,12 @@
 
     def apply_spoil(self, request_id, kind, status, answer, body):
         """Alters the first suitable answer as a router with the imitated fault would have sent it."""
+        if self.spoil == "forgotten-bound" and kind in ("booking", "read") and self.rollouts and self.rollouts[0].new:
+            with self.lock:
+                self.outcomes[request_id + "-more"] = ("read", 0)
+            self.send_to_upstream(self.rollouts[0].new[0], request_id + "-more", "/read/1")
         wanted = {"repeated-booking": "booking", "false-refusal": "booking", "foreign-answer": "read", "harmed-answer": "read",
-                  "lost-event": "stream-reply", "unasked-run": "read"}.get(self.spoil)
+                  "lost-event": "stream-reply", "unasked-run": "read", "no-answer": "read"}.get(self.spoil)
         if status != 200 or kind != wanted:
             return status, answer, body
         spoil, self.spoil = self.spoil, ""
@@ -106,6 +146,8 @@
             answer = {**answer, "x-server-stamp": answer["x-server-stamp"] + "0"}
         elif spoil == "harmed-answer":
             body = body[:-1]
+        elif spoil == "no-answer":
+            status, answer = 0, {}
         elif spoil == "lost-event":
             body = body.replace(b"id: 3", b"")
         return status, answer, body
@@ -130,7 +172,8 @@
         faults = (self.upstream_fault, self.upstream_fault, self.proxy_fault, self.proxy_fault, self.store_fault, self.store_proxy_fault, self.pause_router,
                   self.kill_router, self.terminate_router, self.reconfigure, self.drain_and_restore, self.close_domain, self.expire_history,
                   self.reset_connections, self.restore_store)
-        threads = []
+        threads = [threading.Thread(target=self.run_rollouts, args=(random.Random(self.seed + 1),), daemon=True)]
+        threads[0].start()
         while time.monotonic() < self.begin + self.seconds:
             thread = threading.Thread(target=self.rng.choice(faults), args=(random.Random(self.rng.random()),), daemon=True)
             thread.start()
@@ -194,9 +237,10 @@
     def pause_router(self, rng) -> None:
         router = rng.choice(self.fleet.routers)
         self.record(f"{router.name}: paused")
-        router.send_signal(signal.SIGSTOP)
-        time.sleep(rng.uniform(0.2, 1.5))
-        router.send_signal(signal.SIGCONT)
+        with self.disturbance(router):
+            router.send_signal(signal.SIGSTOP)
+            time.sleep(rng.uniform(0.2, 1.5))
+            router.send_signal(signal.SIGCONT)
 
     def kill_router(self, rng) -> None:
         router = rng.choice(self.fleet.routers)
@@ -205,9 +249,10 @@
                 return
             self.terminating[router.name] = time.monotonic()
         self.record(f"{router.name}: killed")
-        router.stop()
-        time.sleep(rng.uniform(0.05, 0.5))
-        router.start()
+        with self.disturbance(router):
+            router.stop()
+            time.sleep(rng.uniform(0.05, 0.5))
+            router.start()
         with self.lock:
             del self.terminating[router.name]
 
@@ -218,14 +263,15 @@
                 return
             self.terminating[router.name] = time.monotonic()
         self.record(f"{router.name}: SIGTERM")
-        router.send_signal(signal.SIGCONT)
-        router.send_signal(signal.SIGTERM)
-        try:
-            router.process.wait(timeout=12)
-        except Exception:  # any exception means that the process has not ended in time
-            self.fail(f"{router.name} did not end within 12 s of SIGTERM")
-            router.stop()
-        router.start()
+        with self.disturbance(router):
+            router.send_signal(signal.SIGCONT)
+            router.send_signal(signal.SIGTERM)
+            try:
+                router.process.wait(timeout=12)
+            except Exception:  # any exception means that the process has not ended in time
+                self.fail(f"{router.name} did not end within 12 s of SIGTERM")
+                router.stop()
+            router.start()
         with self.lock:
             del self.terminating[router.name]
 
@@ -237,15 +283,13 @@
 
     def drain_and_restore(self, rng) -> None:
         name = rng.choice(list(self.fleet.upstreams))
-        with self.lock:
-            self.fleet.set_state(name, "draining")
+        self.set_state(name, "draining")
         self.record(f"{name}: leaves")
         left = time.monotonic()
         time.sleep(LEAVING_LIMIT_S + 0.5)
         # New requests are not checked here, since store and proxy faults may delay the change; check_recovery() checks them.
         time.sleep(rng.uniform(0.1, 1))
-        with self.lock:
-            self.fleet.set_state(name, "ready")
+        self.set_state(name, "ready")
         self.record(f"{name}: returns after {time.monotonic() - left:.1f} s")
 
     def close_domain(self, rng) -> None:
@@ -277,7 +321,8 @@
         time.sleep(SETTLE_S)
         with self.lock:
             self.fleet.configure(extra_routes=() if self.spoil == "old-configuration" else ("calm",))
-        self.fleet.set_state("desk-0", "draining")
+        leaving = next(name for name, entry in self.fleet.entries.items() if (entry["service"], entry["zone"]) == ("desk", "north"))
+        self.fleet.set_state(leaving, "draining")
         self.fleet.store.put("evacuations", "south", {})
         time.sleep(LEAVING_LIMIT_S)
         before = {n: len(u.arrivals) for n, u in self.fleet.upstreams.items()}
@@ -292,9 +337,9 @@
                     self.fail(f"calm: {path} at {router.name}: {status}, expected {expected}: {body!r}")
         if self.spoil == "work-after-drain":
             self.outcomes["late"] = ("read", 0)
-            self.send_to_upstream("desk-0", "late", "/read/1")
+            self.send_to_upstream(leaving, "late", "/read/1")
         for name, upstream in self.fleet.upstreams.items():
-            closed = name == "desk-0" or self.fleet.entries[name]["zone"] == "south"
+            closed = name == leaving or self.fleet.entries.get(name, {"zone": "south"})["zone"] == "south"
             if closed and len(upstream.arrivals) != before[name]:
                 self.fail(f"{name} got {len(upstream.arrivals) - before[name]} requests {LEAVING_LIMIT_S} s after it was closed")
 
@@ -324,6 +369,11 @@
             self.check_recovery()
             time.sleep(0.5)
             self.check_runs()
+            if self.spoil == "second-status":
+                self.rollouts[-1].overwrite_status()
+            for rollout in self.rollouts:
+                rollout.check()
+                self.counts[rollout.outcome()] = self.counts.get(rollout.outcome(), 0) + 1
             for router in self.fleet.routers:
                 if router.process.poll() is not None:
                     self.fail(f"{router.name} ended by itself with {router.process.returncode}")
