--- a/tests/soak_rollouts.py
+++ b/tests/soak_rollouts.py
@@ -14,7 +14,8 @@
     """One order, with the upstreams of its version and those that served before."""
 
     def __init__(self, soak, number: int, rng: random.Random):
-        self.soak, self.fleet, self.rng = soak, soak.fleet, rng
+        self.soak, self.fleet = soak, soak.fleet
+        self.rng = random.Random(rng.random())  # of its answers, whose number depends on the course of the run
         self.target = f"v{number + 1}"
         self.kind = {"second-status": "error", "forgotten-bound": "good"}.get(soak.spoil, rng.choice(KINDS))
         self.ramp_s = rng.uniform(6, 8)
