Rollouts: one failure does not keep a good version from completion

Cause: a version is not found good while a z value is 3 or more. A target on trial has a tenth of the base's answers, so a single failure beside a base without any gives a z of 3.2 to 3.5, however many sound answers follow. Change: a suspicion also needs a share 0.03 above the base's; a version is bad from 0.1 on.

--- a/src/limits.h
+++ b/src/limits.h
@@ -242,6 +242,9 @@
 inline constexpr double minRolloutShareDifference = 0.1; // of bad or slow answers, above the base version's share
 inline constexpr double rolloutVerdictZ = 4; // the counts are tested several times a second, so chance would exceed a smaller value
 inline constexpr double rolloutSuspicionZ = 3; // a version this much worse is not found good yet
+// Of bad or slow answers, above the base version's share, for a suspicion. Without it, one failure of the target on trial beside none of
+// the base is suspicious for ever: z is then the root of the ratio of their answers, about 3.4.
+inline constexpr double minSuspicionShareDifference = 0.03;
 inline constexpr std::uint32_t minRolloutAnswers = 20; // of a version that is found good
 inline constexpr std::uint32_t minRolloutRouteAnswers = 3; // of it on each route with minRolloutBaseAnswers
 // Of the base version's answers, that a version on trial has at least. A trial brings about 0.08; at less than 0.03, more than chance
--- a/src/rollout_judge.cpp
+++ b/src/rollout_judge.cpp
@@ -77,6 +77,9 @@
         return comparison::equal;
     }
     const double difference = static_cast<double>(targetEvents) / target - static_cast<double>(baseEvents) / base;
+    if (difference < limits::minSuspicionShareDifference) {
+        return comparison::equal;
+    }
     const bool isWorse
         = targetEvents >= limits::minRolloutBadAnswers && difference >= limits::minRolloutShareDifference && z >= limits::rolloutVerdictZ;
     return isWorse ? comparison::worse : comparison::suspicious;
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -94,6 +94,19 @@
     }
 }
 
+// Guards against a version that is not found good because of one failure: beside a base version without any, z is above 3 then, however
+// many sound answers there are.
+BOOST_AUTO_TEST_CASE(goodVersion_withOneFailure_isCompleted)
+{
+    bool hasFailed = false;
+    checkCompleted(played(8, [&](rollout_fleet &fleet, const std::string &, unsigned) {
+        const bool fails = !hasFailed && fleet.now - fleet.orderedAt > 3s;
+        hasFailed = hasFailed || fails;
+        return fails ? outcome {answer_quality::bad, 20ms} : sound(fleet);
+    }));
+    BOOST_TEST(hasFailed);
+}
+
 // Guards against a version that waits for more answers than a quiet service gives.
 BOOST_AUTO_TEST_CASE(goodVersion_ofAServiceWithLittleTraffic_isCompleted)
 {
