--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -158,6 +158,7 @@
     load_update update;
     bool isCounted = true; // false if another update counts the same requests
     bool isSubstitute = false; // not counted, but of the same scope: from a leader that does not reach the object API
+    std::string covers {}; // whose requests it counts, the same for all leaders of a domain; empty for the source's
 };
 
 /// Another router reported where prompts are cached.
@@ -562,8 +563,10 @@
     /// As upstream_set::choose(), among the versions that rollouts allow.
     placement chooseAllowed(time_point now, placement_query &wanted, const exchange &work);
     /// False if rollouts no longer allow an upstream that was chosen a moment ago.
-    bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const;
+    bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream);
     void noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice);
+    /// Takes the start of an attempt back whose upstream could not be reached.
+    void noteVersionUnreachable(const exchange &work, attempt_failure failure);
     /// Counts the outcome of the running attempt for the version of its upstream, once.
     void countVersionAnswer(time_point now, exchange &work, answer_quality quality);
     void updateRollouts(time_point now, std::vector<effect> &effects);
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -520,6 +520,7 @@
     if (wasSent) {
         countVersionAnswer(now, work, input.failure == attempt_failure::damaged ? answer_quality::bad : answer_quality::broken);
     }
+    noteVersionUnreachable(work, input.failure);
     checkUpstream(work, input.failure, effects);
     endAttempt(now, work, wasSent ? attempt_result::lost : attempt_result::unreachable);
     work.state = phase::waiting;
@@ -620,7 +621,8 @@
 void entry_core::on(time_point now, const entry_event::load_update_received &input, std::vector<effect> &)
 {
     m_upstreams.applyUpdate(input.update, input.isCounted, now);
-    m_rollouts.applyUpdate(input.update, input.isCounted, input.isSubstitute, now);
+    m_rollouts.applyUpdate(input.update, input.isCounted, input.isSubstitute, input.covers.empty() ? input.update.source : input.covers,
+                           now);
 }
 
 void entry_core::detectPause(time_point now, std::vector<effect> &effects)
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -196,6 +196,7 @@
 
 void rollout_control::adoptStatus(service_rollout &rollout, time_point now, std::vector<effect> &effects)
 {
+    const bool isBad = rollout.fault != rollout_fault::none;
     switch (rollout.order.status) {
     case rollout_status::completed:
         setState(rollout, rollout_state::completed, effects);
@@ -204,14 +205,14 @@
         setState(rollout, rollout_state::rolledBack, effects);
         break;
     case rollout_status::shift:
-        if (isOpen(rollout.state) && rollout.state != rollout_state::suspected) {
+        if (isOpen(rollout.state) || rollout.state == rollout_state::withdrawn) {
             rollout.shiftingSince = rollout.shiftingSince.value_or(now);
-            setState(rollout, rollout_state::shift, effects);
+            setState(rollout, isBad ? rollout_state::suspected : rollout_state::shift, effects);
         }
         break;
     default:
         if (rollout.state == rollout_state::withdrawn) {
-            setState(rollout, rollout_state::trial, effects);
+            setState(rollout, isBad ? rollout_state::suspected : rollout_state::trial, effects);
         }
         break;
     }
@@ -317,7 +318,7 @@
     }
     const auto found = m_rollouts.find(service);
     if (found == m_rollouts.end()) {
-        // An order may exist that this router does not know yet. The version of most upstreams serves in any case.
+        // An order may exist that this router does not know yet. Where no version is familiar, that of most upstreams serves.
         version_filter familiar;
         std::string most;
         std::size_t count = 0;
@@ -332,7 +333,9 @@
             }
         }
         if (familiar.versions.size() < versions.size()) {
-            familiar.versions.push_back(most);
+            if (familiar.versions.empty()) {
+                familiar.versions.push_back(most);
+            }
             filters.push_back(std::move(familiar));
             filters.push_back(any());
         }
@@ -343,7 +346,7 @@
     const std::string base = baseVersion(rollout);
     switch (rollout.state) {
     case rollout_state::trial:
-        if (!rollout.hadBase) {
+        if (!rollout.hadBase && !hasBase(rollout)) {
             filters.push_back(any());
             break;
         }
@@ -409,6 +412,15 @@
     }
 }
 
+void rollout_control::recordUnreachable(const std::string &service, std::string_view version)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end() || version == found->second.order.target) {
+        return; // an attempt at the target version stays counted: it may have got there
+    }
+    found->second.starts -= found->second.starts > 0 ? 1 : 0;
+}
+
 void rollout_control::recordAnswer(const std::string &service, std::string_view version, std::uint64_t upstream, std::string_view route,
                                    answer_quality quality, std::optional<double> slowness, bool wasGood, time_point now)
 {
@@ -563,7 +575,7 @@
                                 && !m_closedDomains.contains(upstream.domain);
             slots += counts ? upstream.slots : 0;
         }
-        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious);
+        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious && !rollout.verdict.isStarved);
         const bool isDue = ageOf(rollout, now) >= shiftAge(rollout, sums);
         const bool hasRoom = slots > 0 && slots >= rollout.inFlight;
         return isFound && isDue && hasRoom ? rollout_status::shift : rollout_status::none;
@@ -648,7 +660,7 @@
     }
 }
 
-void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, time_point now)
+void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, const std::string &covers, time_point now)
 {
     for (auto &[service, rollout] : m_rollouts) {
         const std::uint32_t key = shortHash(service);
@@ -662,11 +674,12 @@
         if (rollout.fault == rollout_fault::none && isOpen(rollout.state)) {
             rollout.fault = found->fault;
         }
-        const auto known = rollout.fromPeers.find(update.source);
-        const bool hasCounted = known != rollout.fromPeers.end() && !known->second.isSubstitute
-                                && now - known->second.receivedAt < limits::loadUpdateLifetime;
-        if (isCounted || (isSubstitute && !hasCounted)) {
-            rollout.fromPeers[update.source] = {update.scope, *found, now, !isCounted};
+        const auto known = rollout.fromPeers.find(covers);
+        // A substitute neither replaces a counted update nor alternates with another substitute.
+        const bool isCovered = known != rollout.fromPeers.end() && now - known->second.receivedAt < limits::loadUpdateLifetime
+                               && !(known->second.isSubstitute && known->second.source == update.source);
+        if (isCounted || (isSubstitute && !isCovered)) {
+            rollout.fromPeers[covers] = {update.scope, *found, now, update.source, !isCounted};
         }
     }
 }
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -65,6 +65,24 @@
     return fleet;
 }
 
+rollout_order plainOrder()
+{
+    rollout_order order;
+    order.service = "desk";
+    order.target = "v2";
+    order.ramp = 12s;
+    order.id = 1ULL << 32;
+    order.revision = store_revision(4);
+    return order;
+}
+
+/// Whether requests may use a version before all others, whatever the instance.
+bool isFirstChoice(const rollout_control &control, const std::string &version, time_point now)
+{
+    const version_filters filters = control.filtersFor("desk", now);
+    return filters.empty() || filters.front().allows(version, hashText("new-0"));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(rollout)
@@ -76,6 +94,19 @@
     }
 }
 
+// Guards against a version that is not found good because of one failure: beside a base version without any, z is above 3 then, however
+// many sound answers there are.
+BOOST_AUTO_TEST_CASE(goodVersion_withOneFailure_isCompleted)
+{
+    bool hasFailed = false;
+    checkCompleted(played(8, [&](rollout_fleet &fleet, const std::string &, unsigned) {
+        const bool fails = !hasFailed && fleet.now - fleet.orderedAt > 3s;
+        hasFailed = hasFailed || fails;
+        return fails ? outcome {answer_quality::bad, 20ms} : sound(fleet);
+    }));
+    BOOST_TEST(hasFailed);
+}
+
 // Guards against a version that waits for more answers than a quiet service gives.
 BOOST_AUTO_TEST_CASE(goodVersion_ofAServiceWithLittleTraffic_isCompleted)
 {
@@ -365,6 +396,130 @@
     BOOST_TEST(fleet.refused == 0U);
 }
 
+// Guards against answers and routers that count twice, because two leaders report them or another leader takes over, so that a version is
+// judged on half the answers that a verdict needs, and old upstreams are stopped before all routers have shifted.
+BOOST_AUTO_TEST_CASE(countsOfOneDomain_fromTwoLeaders_countOnce)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    std::vector<rollout_control::effect> effects;
+    time_point now {1h};
+    control.takeOrder(plainOrder(), now, effects);
+    const auto counted = [&] { return control.sumOfCounts(load_scope::fleet, now).front(); };
+    const auto tell = [&](const std::string &leader, std::uint32_t answers, bool isCounted) {
+        load_update update;
+        update.source = leader;
+        update.scope = load_scope::domain;
+        update.rollouts = control.ownCounts(now);
+        update.rollouts.front().routersShifted = 2;
+        update.rollouts.front().routes = {{7, {answers, 0, 0, 0, 0}, {}}};
+        control.applyUpdate(update, isCounted, true, "domain/north", now);
+    };
+    tell("leader-1", 100, true);
+    tell("leader-2", 90, false);
+    BOOST_TEST(counted().routersShifted == 2U);
+    BOOST_TEST(counted().routes.front().base.answers == 100U);
+    now += 200ms;
+    tell("leader-2", 120, true); // it has become the preferred leader
+    tell("leader-1", 110, false);
+    BOOST_TEST(counted().routersShifted == 2U);
+    BOOST_TEST(counted().routes.front().base.answers == 120U);
+    now += limits::loadUpdateLifetime; // neither is preferred any longer: one stands in, and the other does not alternate with it
+    tell("leader-1", 130, false);
+    tell("leader-2", 125, false);
+    BOOST_TEST(counted().routersShifted == 2U);
+    BOOST_TEST(counted().routes.front().base.answers == 130U);
+}
+
+// Guards against a router that hears of the order first, then of the new upstreams, and treats the service as one without old ones.
+BOOST_AUTO_TEST_CASE(order_knownBeforeAnyUpstream_boundsTheNewVersionAtOnce)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    std::vector<rollout_control::effect> effects;
+    const time_point now {1h};
+    control.takeOrder(plainOrder(), now, effects);
+    control.listUpstream(rollout_fleet::upstream("new-0", "v2"), now);
+    BOOST_TEST(isFirstChoice(control, "v2", now));
+    control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+    BOOST_TEST(!isFirstChoice(control, "v2", now));
+}
+
+// Guards against new upstreams that outnumber the old ones, and are used fully until the order is known.
+BOOST_AUTO_TEST_CASE(upstreamsOfANewVersion_moreThanOldOnes_areHeldBackUntilTheOrderIsKnown)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    const time_point now {1h};
+    control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+    control.verify(store_revision(5));
+    for (const char *name : {"new-0", "new-1"}) {
+        control.listUpstream({name, "desk", "v2", "domain", 64, false, store_revision(9)}, now);
+    }
+    BOOST_TEST(!isFirstChoice(control, "v2", now));
+    BOOST_TEST(isFirstChoice(control, "v1", now));
+}
+
+// Guards against an order that comes back after a store forgot it, and then gets requests in spite of a verdict, or is never completed.
+BOOST_AUTO_TEST_CASE(withdrawnOrder_comesBack_goesOnFromItsState)
+{
+    std::vector<rollout_control::effect> effects;
+    const time_point now {1h};
+    for (const bool isBad : {false, true}) {
+        rollout_control control(rollout_bounds {}, "self");
+        control.verify(store_revision(3));
+        control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+        control.listUpstream(rollout_fleet::upstream("new-0", "v2"), now);
+        rollout_order order = plainOrder();
+        control.takeOrder(order, now, effects);
+        load_update update;
+        update.source = "other";
+        update.rollouts = control.ownCounts(now);
+        update.rollouts.front().fault = isBad ? rollout_fault::failures : rollout_fault::none;
+        control.applyUpdate(update, true, false, "other", now);
+        control.tick(now, {}, effects);
+        control.withdraw("desk", effects);
+        control.takeOrder(order, now, effects);
+        BOOST_TEST(isFirstChoice(control, "v2", now) == !isBad);
+        control.withdraw("desk", effects);
+        order.status = rollout_status::shift;
+        control.takeOrder(order, now, effects);
+        BOOST_TEST(isFirstChoice(control, "v2", now + 2s) == !isBad);
+        BOOST_TEST((control.reports(now).front().state == (isBad ? rollout_state::suspected : rollout_state::shift)));
+    }
+}
+
+// Guards against a quota that grows with attempts at old upstreams which nobody receives.
+BOOST_AUTO_TEST_CASE(quota_oldUpstreamsAreUnreachable_doesNotGrow)
+{
+    rollout_control control(rollout_bounds {}, "self");
+    std::vector<rollout_control::effect> effects;
+    const time_point now {1h};
+    control.listUpstream(rollout_fleet::upstream("old-0", "v1"), now);
+    control.listUpstream(rollout_fleet::upstream("new-0", "v2"), now);
+    control.takeOrder(plainOrder(), now, effects);
+    for (unsigned i = 0; i < 100; ++i) {
+        control.recordStart("desk", "v1", now);
+        control.recordUnreachable("desk", "v1");
+    }
+    BOOST_TEST(!isFirstChoice(control, "v2", now));
+    for (unsigned i = 0; i < 100; ++i) {
+        control.recordStart("desk", "v1", now);
+    }
+    BOOST_TEST(isFirstChoice(control, "v2", now));
+}
+
+// Guards against a version that is found good although it has answered nothing, because its upstreams on trial are out of reach.
+BOOST_AUTO_TEST_CASE(versionWithoutAnswers_ofAServiceWithMuchTraffic_isNotFoundGood)
+{
+    rollout_fleet fleet(8);
+    fleet.answer = [](const versioned_upstream &upstream, const std::string &, unsigned) {
+        return outcome {answer_quality::good, upstream.version == "v2" ? 1h : 50ms};
+    };
+    fleet.run(2s);
+    fleet.writeOrder();
+    fleet.run(14s);
+    BOOST_TEST((fleet.order->status == rollout_status::trial));
+    BOOST_TEST(fleet.exposureAboveBound() <= 0);
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
