Learned speed: model of answer times, slowness and usual load

Cause: placement assumes that all servers of a service are equally fast, and that engines prefill 45 tokens a ms.

Change: a pure model fits the time of a service's answers (base, prefill, load) and keeps per upstream a decayed mean of the logarithm of measured / expected time, relative to the service's median, and the load from which its times rise. A factor counts only outside of 15% and of three standard errors. Nothing uses the model yet.

--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -10,6 +10,7 @@
 #include <nutmegtally/rollout_control.h>
 #include <nutmegtally/time.h>
 #include <nutmegtally/traffic_rules.h>
+#include <nutmegtally/upstream_speed.h>
 #include <nutmegtally/version_filter.h>
 
 #include <array>
@@ -53,10 +54,6 @@
     unsigned slots = 0;
 };
 
-/// Number of one incarnation of an upstream. Never reused, so late events of an earlier incarnation are ignored.
-using upstream_number = std::uint32_t;
-inline constexpr upstream_number noUpstreamNumber = 0;
-
 /// Properties of a request that placement uses.
 struct placement_query {
     std::string_view service;
--- a/src/limits.h
+++ b/src/limits.h
@@ -263,4 +263,41 @@
 inline constexpr duration longestAnswerTime = 10s; // that the longest time at a base upstream is remembered, at least
 inline constexpr duration unlistedTargetDelay = 2s; // until an order for a version without upstreams is logged
 
+// Learned speed of upstreams.
+inline constexpr double usualSpeedRange = 1.15; // factor around the median in which upstreams count as alike
+inline constexpr duration speedHalfLife = 10s; // of the weight of an upstream's answers, and of its factor when it is not seen
+// Without a decay of the factor: each of many routers sends a request to an upstream only every few seconds.
+inline constexpr duration speedUnseenGrace = 5s;
+inline constexpr duration speedForgetTime = 30s; // an upstream that was not seen for this time is tried like a new one
+inline constexpr duration speedFitHalfLife = 30s; // of the answers in the usual time of a service
+inline constexpr double speedPriorSamples = 1.0; // answers that the default speed counts as
+inline constexpr double minSpeedFitSamples = 10; // answers of a service until its usual time is known; fewer give no usable line
+inline constexpr double minExpectedMs = 0.1; // of an answer; a shorter time is not measured reliably
+inline constexpr double minPrefillTokensPerMs = 10;
+inline constexpr double maxPrefillTokensPerMs = 500;
+inline constexpr double minStepMs = 0.2;
+inline constexpr double maxStepMs = 20;
+inline constexpr double minSlowness = 0.25; // a larger difference between servers of one service is a fault of the measurement
+inline constexpr double maxSlowness = 8;
+inline constexpr double minSpeedSamples = 3; // answers of an upstream; fewer say nothing about it
+inline constexpr double maxSpeedWeight = 16; // answers in an upstream's moving average; more would follow a recovery too late
+inline constexpr double speedVarianceWeight = 0.02; // of the newest answer in the variance of the times of a service
+inline constexpr double speedErrors = 3; // standard errors; a smaller difference is chance
+inline constexpr duration statedSpeedHalfLife = 1s; // of an upstream's statement about its machine, which changes many times a second
+inline constexpr double statedSpeedShare = 0.5; // of an answer's weight that a statement has; it is old when it arrives
+inline constexpr double maxStatedSpeedWeight = 8; // statements; with their share a quarter of maxSpeedWeight
+inline constexpr double minStatedSpeedWeight = 0.05;
+inline constexpr double minSentSpeedWeight = 0.5; // answers; other routers get no figure that rests on less
+inline constexpr duration speedRefreshInterval = 100ms; // between two computations of the factors of a service; load updates come as often
+inline constexpr duration minSpeedNoteInterval = 1s; // between two log lines about an upstream's factor
+inline constexpr double minLoadTrendSamples = 12; // answers of an upstream; fewer give no usable line
+inline constexpr double minLoadTrendVariance = 0.25; // of the load in requests; at an almost constant load no trend shows
+inline constexpr double loadTrendErrors = 4; // standard errors; the trend is tested with each answer, so chance would exceed fewer
+inline constexpr double usualLoadUse = 0.7; // of an upstream's usual load, from which an answer shows that it could take more
+inline constexpr double usualLoadGrowthPerSecond = 0.03; // while answers come in the usual time
+inline constexpr double maxUsualLoad = 1000; // requests; a larger one bounds nothing
+inline constexpr double overUsualLoadMs = 60; // per request over the usual load, relative to it; as for requests over an upstream's slots
+inline constexpr double unprovenLoadShare = 0.5; // of the service's mean load, for an upstream that is new or was not seen lately
+inline constexpr double unprovenPenaltyMs = 2000; // for an upstream that has this share; above all other terms of a usual score
+
 } // namespace nutmegtally::limits
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -1,3 +1,4 @@
+#include "decay.h"
 #include "limits.h"
 #include "placement_score.h"
 
@@ -17,16 +18,6 @@
 namespace
 {
 
-double milliseconds(duration span)
-{
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-
-double halved(duration age, duration halfLife)
-{
-    return std::exp2(-milliseconds(age) / milliseconds(halfLife));
-}
-
 duration scaled(duration span, double factor)
 {
     return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
