Learned speed: factors and occupied memory in the load updates

Cause: a router sees only some answers of each upstream, and none after a restart.

Change: element 17 of the heartbeat has, in the order of element 7, the factor (8 bits, logarithmic), its weight (8 bits, logarithmic) and the occupied memory (32 bits) of each upstream. Element 16 is null. Element 7 keeps its format; it also lists upstreams without requests that have a factor, because most are idle at the moment of a heartbeat. Sums combine factors by weight and add the memory, which counts as unknown if one of the routers does not state it. Figures are relative to the sender's median, so that routers with different fits agree.

--- a/include/nutmegtally/load_update.h
+++ b/include/nutmegtally/load_update.h
@@ -1,10 +1,11 @@
-// Load updates, which routers send each other several times a second: requests in flight at each upstream, where prompts
+// Load updates, which routers send each other several times a second: requests in flight at each upstream, its speed, where prompts
 // were sent, and which upstreams are leaving. A router sends its own load to the leaders of its failure domain; leaders send
 // sums. A lost update is replaced by the next one.
 #pragma once
 
 #include <nutmegtally/rollout.h>
 #include <nutmegtally/time.h>
+#include <nutmegtally/upstream_speed.h>
 
 #include <array>
 #include <cstdint>
@@ -39,6 +40,8 @@
     std::uint64_t upstream = 0; // hash of the instance's name; only its upper half is sent
     std::uint32_t inFlight = 0;
     std::uint32_t pendingPrefillTokens = 0; // of requests that have no first event yet
+    slowness_figure slowness {}; // relative to the median of the service; its weight is 0 if it is not known
+    std::uint32_t occupiedTokens = 0; // of its memory, by the requests; 0 if it is not known
 };
 
 /// Shared parts of a prompt that was sent to an upstream, which probably caches them.
@@ -57,7 +60,7 @@
 
 struct load_update {
     std::string source; // name of a router or a domain; an update replaces the last one of the same source
-    std::vector<upstream_usage> usage; // upstreams that are not listed have no requests
+    std::vector<upstream_usage> usage; // upstreams that are not listed have no requests; some have only a speed
     std::vector<prompt_location> prompts {}; // since the last update
     std::vector<leaving_upstream> leaving {}; // repeated for some seconds, so that a lost update does not matter
     load_scope scope = load_scope::router;
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -129,6 +129,8 @@
     std::uint32_t inFlight = 0;
     std::uint32_t pendingPrefillTokens = 0;
     time_point receivedAt;
+    slowness_figure slowness {};
+    std::uint32_t occupiedTokens = 0; // 0 if the source does not state it
 };
 
 /// State of one listed incarnation of an upstream.
@@ -341,6 +343,7 @@
     /// @param outgoing Receives the prompts to announce to other routers; null for none.
     void recordPrompts(const std::vector<prompt_location> &prompts, std::vector<prompt_location> *outgoing, time_point now);
     void applyUsage(const load_update &update, time_point now);
+    upstream_usage ownUsage(const upstream_entry &state, time_point now) const;
     load_update sumOfLoads(load_scope scope, time_point now) const;
     void addLeaving(load_update &update, time_point now) const;
     const upstream_number *numberOf(std::uint64_t hash) const;
@@ -370,6 +373,8 @@
     double unreportedStarts(std::string_view service, std::size_t upstreams, time_point now) const;
     upstream_entry *mutableState(upstream_number number);
     void refreshSpeeds(std::string_view service, time_point now);
+    /// According to other routers.
+    static slowness_figure peerSlowness(const upstream_entry &upstream, time_point now);
     learned_speed speedOf(const upstream_entry &upstream) const;
     engine_speed usualSpeedOf(std::string_view service) const;
     void holdBackUnproven(std::vector<candidate> &eligible, time_point now) const;
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -25,6 +25,12 @@
 constexpr std::size_t maxSentRolloutRoutes = 64; // of one service; 3 KB
 constexpr std::uint32_t prefillTokenUnit = 64; // tokens; finer steps would not change the placement score
 
+// Figures of the speed of upstreams: one byte for the logarithm of the factor, from a quarter to eight times the usual time, and one
+// for the logarithm of the weight, up to 60,000 answers.
+constexpr double lowestLog2Factor = -2;
+constexpr double log2FactorUnits = 51;
+constexpr double log2WeightUnits = 16;
+
 /// Appends a number in little-endian byte order. A value that does not fit is clamped to the maximum of the type.
 template<typename Number>
 void appendNumber(std::string &bytes, std::uint64_t value)
@@ -212,6 +218,31 @@
     return rollouts;
 }
 
+/// The speed and the occupied memory of each upstream, in the order of the list of their usage.
+std::string figuresToBytes(const std::vector<upstream_usage> &usage)
+{
+    const auto unitsOf = [](double value, double units) { return static_cast<std::uint64_t>(std::lround(std::max(0.0, value) * units)); };
+    std::string bytes;
+    for (const upstream_usage &each : usage) {
+        appendNumber<std::uint8_t>(bytes, unitsOf(each.slowness.log2Factor - lowestLog2Factor, log2FactorUnits));
+        appendNumber<std::uint8_t>(bytes, unitsOf(std::log2(1.0 + each.slowness.weight), log2WeightUnits));
+        appendNumber<std::uint32_t>(bytes, each.occupiedTokens);
+    }
+    return bytes;
+}
+
+void figuresFromBytes(std::string_view bytes, std::vector<upstream_usage> &usage)
+{
+    for (upstream_usage &each : usage) {
+        each.slowness.log2Factor = readNumber<std::uint8_t>(bytes) / log2FactorUnits + lowestLog2Factor;
+        each.slowness.weight = std::exp2(readNumber<std::uint8_t>(bytes) / log2WeightUnits) - 1.0;
+        each.occupiedTokens = readNumber<std::uint32_t>(bytes);
+    }
+    if (!bytes.empty()) {
+        throw std::runtime_error("figures of more upstreams than have a usage");
+    }
+}
+
 limit_statement limitFromBytes(std::string_view bytes)
 {
     const std::vector<limit_statement> statements = limitsFromBytes(bytes);
@@ -413,7 +444,8 @@
     json::to_msgpack(json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval,
                                   load.source, static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving),
                                   std::move(digests), recentRouters, evidenceToJson(heartbeat.evidence), limitsToBytes(heartbeat.limits),
-                                  std::move(sinceApiAnswer), rolloutsToBytes(load.rollouts)}),
+                                  std::move(sinceApiAnswer), rolloutsToBytes(load.rollouts), json(), // element 16 has no content yet
+                                  figuresToBytes(load.usage)}),
                      bytes);
     return bytes;
 }
@@ -479,6 +511,9 @@
     if (document.size() > 15) {
         load.rollouts = rolloutsFromBytes(document.at(15).get_ref<const std::string &>());
     }
+    if (document.size() > 17) {
+        figuresFromBytes(document.at(17).get_ref<const std::string &>(), load.usage);
+    }
     return heartbeat;
 }
 
--- a/src/upstream_set_updates.cpp
+++ b/src/upstream_set_updates.cpp
@@ -18,6 +18,11 @@
     return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
+bool isWorthSending(const upstream_usage &usage)
+{
+    return usage.inFlight > 0 || usage.slowness.weight >= limits::minSentSpeedWeight;
+}
+
 } // namespace
 
 void upstream_set::applyUsage(const load_update &update, time_point now)
@@ -38,19 +43,31 @@
     fromPeers.upstreams.clear();
     for (const upstream_usage &usage : update.usage) {
         if (const upstream_number *number = numberOf(usage.upstream)) {
-            mutableState(*number)->fromPeers.push_back({source, update.scope, usage.inFlight, usage.pendingPrefillTokens, now});
+            mutableState(*number)->fromPeers.push_back(
+                {source, update.scope, usage.inFlight, usage.pendingPrefillTokens, now, usage.slowness, usage.occupiedTokens});
             fromPeers.upstreams.push_back(*number);
         }
     }
 }
 
+upstream_usage upstream_set::ownUsage(const upstream_entry &state, time_point now) const
+{
+    upstream_usage usage {state.hash, state.inFlight, static_cast<std::uint32_t>(state.pendingPrefillTokens)};
+    if (m_mechanisms.has(mechanism::learnedSpeed)) {
+        usage.slowness = m_speeds.ownFigure(state.record.service, state.number, now);
+        usage.occupiedTokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(state.kvTokens, UINT32_MAX));
+    }
+    return usage;
+}
+
 load_update upstream_set::ownLoad(time_point now) const
 {
     load_update update;
     update.source = m_self;
     for (const auto &[instance, state] : m_upstreams) {
-        if (state.inFlight > 0) {
-            update.usage.push_back({state.hash, state.inFlight, static_cast<std::uint32_t>(state.pendingPrefillTokens)});
+        const upstream_usage usage = ownUsage(state, now);
+        if (isWorthSending(usage)) {
+            update.usage.push_back(usage);
         }
     }
     addLeaving(update, now);
@@ -72,15 +89,20 @@
     update.source = scope == load_scope::fleet ? std::string() : m_ownDomain;
     update.scope = scope;
     for (const auto &[instance, state] : m_upstreams) {
-        upstream_usage sum {state.hash, state.inFlight, static_cast<std::uint32_t>(state.pendingPrefillTokens)};
+        upstream_usage sum = ownUsage(state, now);
+        bool isMemoryKnown = true; // a router of an earlier version does not state it
         for (const peer_usage &usage : state.fromPeers) {
             const bool counts = usage.scope == load_scope::router || scope == load_scope::fleet;
             if (counts && now - usage.receivedAt < limits::loadUpdateLifetime) {
                 sum.inFlight += usage.inFlight;
                 sum.pendingPrefillTokens += usage.pendingPrefillTokens;
+                sum.slowness.add(usage.slowness);
+                sum.occupiedTokens += usage.occupiedTokens;
+                isMemoryKnown = isMemoryKnown && (usage.inFlight == 0 || usage.occupiedTokens > 0);
             }
         }
-        if (sum.inFlight > 0) {
+        sum.occupiedTokens = isMemoryKnown ? sum.occupiedTokens : 0;
+        if (isWorthSending(sum)) {
             update.usage.push_back(sum);
         }
     }
@@ -119,9 +141,11 @@
         if (const auto each = own.find(usage.upstream); each != own.end()) {
             usage.inFlight -= std::min(usage.inFlight, each->second->inFlight);
             usage.pendingPrefillTokens -= std::min(usage.pendingPrefillTokens, each->second->pendingPrefillTokens);
+            usage.slowness.subtract(each->second->slowness);
+            usage.occupiedTokens -= std::min(usage.occupiedTokens, each->second->occupiedTokens);
         }
     }
-    std::erase_if(fleet.usage, [](const upstream_usage &usage) { return usage.inFlight == 0; });
+    std::erase_if(fleet.usage, [](const upstream_usage &usage) { return !isWorthSending(usage); });
     return fleet;
 }
 
@@ -147,11 +171,22 @@
     }
     std::vector<std::pair<upstream_number, slowness_figure>> others;
     for (const upstream_entry *state : ofService(service)) {
-        others.emplace_back(state->number, slowness_figure());
+        others.emplace_back(state->number, peerSlowness(*state, now));
     }
     m_speeds.refresh(std::string(service), others, now);
 }
 
+slowness_figure upstream_set::peerSlowness(const upstream_entry &upstream, time_point now)
+{
+    slowness_figure sum;
+    for (const peer_usage &usage : upstream.fromPeers) {
+        if (now - usage.receivedAt < limits::loadUpdateLifetime) {
+            sum.add(usage.slowness);
+        }
+    }
+    return sum;
+}
+
 learned_speed upstream_set::speedOf(const upstream_entry &upstream) const
 {
     return m_mechanisms.has(mechanism::learnedSpeed) ? m_speeds.of(upstream.record.service, upstream.number) : learned_speed();
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -7,6 +7,9 @@
 #include "platform/request_codec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cmath>
 
 namespace
 {
@@ -507,6 +510,38 @@
     BOOST_CHECK_THROW(decodeDatagram("\x93garbage", 8), std::exception);
 }
 
+// Guards against figures of the speed that routers of an earlier version cannot skip, or do not have to send.
+BOOST_AUTO_TEST_CASE(heartbeat_withSpeeds_isReadableForEarlierVersions)
+{
+    router_heartbeat sent;
+    sent.name = "a";
+    for (const double factor : {1.0, 2.0, 0.25, 8.0}) {
+        sent.load.usage.push_back({std::uint64_t(7) << 32, 3, 64, {std::log2(factor), 100 * factor}, 4'000'000'000U});
+    }
+    std::string bytes = encodeHeartbeat(sent);
+    const auto read = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
+    BOOST_REQUIRE(read.load.usage.size() == 4U);
+    for (std::size_t i = 0; i < 4; ++i) {
+        const slowness_figure &figure = sent.load.usage[i].slowness;
+        BOOST_TEST(std::abs(read.load.usage[i].slowness.log2Factor - figure.log2Factor) < 0.02);
+        BOOST_TEST(std::abs(read.load.usage[i].slowness.weight / figure.weight - 1) < 0.03);
+        BOOST_TEST(read.load.usage[i].occupiedTokens == 4'000'000'000U);
+    }
+    BOOST_TEST(read.load.usage[0].slowness.log2Factor == 0);
+
+    nlohmann::json document = nlohmann::json::from_msgpack(bytes);
+    BOOST_TEST(document.at(7).get<std::string>().size() == 4U * 8);
+    BOOST_TEST(document.at(16).is_null());
+    BOOST_TEST(document.at(17).get<std::string>().size() == 4U * 6);
+    document.erase(17);
+    document.erase(16);
+    bytes.clear();
+    nlohmann::json::to_msgpack(document, bytes);
+    const auto earlier = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
+    BOOST_TEST(earlier.load.usage.at(0).inFlight == 3U);
+    BOOST_TEST(earlier.load.usage.at(0).slowness.weight == 0);
+}
+
 BOOST_AUTO_TEST_CASE(permitMessage_roundTrip_keepsAllFields)
 {
     const permit_request asked {1ULL << 40, {{7, 8}, 0.5, 12ms}, {-1, 0xffffffff}};
--- a/tests/test_upstream_speed.cpp
+++ b/tests/test_upstream_speed.cpp
@@ -461,4 +461,66 @@
     BOOST_TEST(fixture.core.upstreams().unusualSpeeds().empty());
 }
 
+// Load: a router restarts while one upstream is slow. Guards against learning again what the others know.
+BOOST_AUTO_TEST_CASE(restartedRouter_takesTheFactorsOfOthers)
+{
+    placement_fake fleet(3);
+    const auto time = [](unsigned upstream, unsigned) { return upstream == 0 ? 160.0 : 80.0; };
+    fleet.play(10s, 500, time);
+    BOOST_REQUIRE(fleet.routers[1].unusualSpeeds().size() == 1U);
+    fleet.routers[0] = upstream_set("domain");
+    fleet.routers[0].setRouters("router-0", {"router-0", "router-1", "router-2"});
+    std::erase_if(fleet.runs, [](const auto &entry) { return entry.second.router == 0; });
+    fleet.list(0, 0);
+    for (unsigned i = 1; i < 8; ++i) {
+        fleet.list(i, 0);
+    }
+    fleet.exchangeLoads();
+    fleet.send(0, time);
+    const auto known = fleet.routers[0].unusualSpeeds();
+    BOOST_REQUIRE(known.size() == 1U);
+    BOOST_TEST(known[0].instance == "upstream-0");
+    BOOST_TEST(known[0].factor > 1.6);
+}
+
+// Load: each of a hundred routers sees too few answers of each upstream to judge it, one of which is slow. Guards against factors that
+// only a router with many requests can learn.
+BOOST_AUTO_TEST_CASE(hundredRouters_fewAnswersEach_learnTogether)
+{
+    placement_fake fleet(100);
+    const auto time = [](unsigned upstream, unsigned) { return upstream == 0 ? 240.0 : 80.0; };
+    fleet.play(30s, 150, time);
+    fleet.play(10s, 150, time);
+    BOOST_TEST(fleet.shareOf(0) < 0.08);
+    for (const upstream_set &router : fleet.routers) {
+        for (const upstream_set::speed_change &each : router.unusualSpeeds()) {
+            BOOST_TEST(each.instance == "upstream-0");
+        }
+    }
+}
+
+// Load: a leader sums up the figures of two routers and its own. Guards against a mean that ignores the weights, and against figures
+// that come back to the router that sent them.
+BOOST_AUTO_TEST_CASE(sums_combineByWeight_andLeaveOutTheReceiver)
+{
+    placement_fake fleet(1);
+    upstream_set &leader = fleet.routers[0];
+    leader.setLeader(true);
+    const std::uint64_t upstream = hashText("upstream-0");
+    leader.applyUpdate({"a", {{upstream, 2, 0, {1.0, 30}, 500}}}, true, fleet.now);
+    leader.applyUpdate({"b", {{upstream, 1, 0, {0.0, 10}, 200}}}, true, fleet.now);
+    const load_update sum = leader.domainLoad(fleet.now);
+    BOOST_REQUIRE(sum.usage.size() == 1U);
+    BOOST_TEST(sum.usage[0].slowness.log2Factor == 0.75);
+    BOOST_TEST(sum.usage[0].slowness.weight == 40.0);
+    BOOST_TEST(sum.usage[0].occupiedTokens == 700U);
+    const load_update fleetLoad = leader.fleetLoad(fleet.now);
+    const load_update forA = leader.excludingRouter(fleetLoad, "a");
+    BOOST_REQUIRE(forA.usage.size() == 1U);
+    BOOST_TEST(forA.usage[0].slowness.log2Factor == 0.0);
+    BOOST_TEST(forA.usage[0].slowness.weight == 10.0);
+    BOOST_TEST(forA.usage[0].occupiedTokens == 200U);
+    BOOST_TEST(leader.excludingRouter(forA, "b").usage.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
