Learned speed: fourth figure of the load report

Cause: decodeLoad dropped the figure, so a router learned of a slow machine only from its own measurements.

Change: the figure is decoded as a positive percentage. Anything else in its place is ignored with one line (load_figure_unreadable), and the first three figures hold. It is not used from refused, failed or unsigned answers, or while the upstream is cold.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -54,6 +54,7 @@
     std::optional<duration> pauseFor = std::nullopt; // the upstream asks this router to send no requests for this time
     std::optional<double> requestsPerSecond = std::nullopt; // that the upstream states to take from all routers together
     std::string unreadableLimit {}; // beginning of such a statement that is no figure
+    std::string unreadableTime {}; // beginning of a time in its load that is no figure, or 0
 };
 
 /// Where and how the body of an answer ended.
@@ -568,6 +569,7 @@
     /// Counts the outcome of the running attempt for the version of its upstream, once.
     void countVersionAnswer(time_point now, exchange &work, answer_quality quality);
     void updateRollouts(time_point now, std::vector<effect> &effects);
+    void recordLoad(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
     /// Records that the running attempt has a good answer.
     void noteGoodAnswer(time_point now, exchange &work, bool isSuccess);
     /// Learns from the time of the running attempt.
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -52,6 +52,7 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    std::optional<double> timePercent {}; // time that work takes on its machine now; 100 is usual
 };
 
 /// Properties of a request that placement uses.
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -445,9 +445,7 @@
     }
     exchange &work = found->second;
     const answer_summary &answer = input.answer;
-    if (answer.load) {
-        m_upstreams.recordReport(work.upstream, *answer.load, now);
-    }
+    recordLoad(now, work, answer, effects);
     applyUpstreamSignals(now, work, answer, effects);
     log_line line = attemptLogLine(now, work);
     line.with("status", answer.status).with("not_run", answer.notRun).with("signed", answer.isSigned);
--- a/src/entry_core_speed.cpp
+++ b/src/entry_core_speed.cpp
@@ -4,6 +4,21 @@
 namespace nutmegtally
 {
 
+void entry_core::recordLoad(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects)
+{
+    if (answer.load) {
+        upstream_load load = *answer.load;
+        // The figure of an answer without the work done, or without a signature, may come from another machine.
+        load.timePercent = answer.notRun || !answer.isSigned || answer.status >= 500 ? std::nullopt : load.timePercent;
+        m_upstreams.recordReport(work.upstream, load, now);
+    }
+    if (!answer.unreadableTime.empty()) {
+        log_line line = attemptLogLine(now, work);
+        line.with("text", answer.unreadableTime);
+        effects.push_back(log_record {log_event::loadFigureUnreadable, line.take()});
+    }
+}
+
 void entry_core::noteGoodAnswer(time_point now, exchange &work, bool isSuccess)
 {
     if (isSuccess) { // an upstream may reject a request without doing the work
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -641,6 +641,9 @@
     state->reportedAt = now;
     state->inFlightAtReport = state->inFlight;
     state->hasReport = true;
+    if (load.timePercent && m_mechanisms.has(mechanism::learnedSpeed) && now >= state->coldUntil) {
+        m_speeds.recordStated(state->record.service, number, *load.timePercent, now);
+    }
 }
 
 void upstream_set::finish(upstream_number number, std::uint64_t prefillTokens, std::uint64_t kvTokens, bool awaitsFirstEvent)
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -222,6 +222,30 @@
     BOOST_TEST((codec.decodeAnswer(answer).summary.pauseFor == 1h));
 }
 
+// Guards against a load report that is lost because of its fourth figure, and against a figure that stands for no time.
+BOOST_AUTO_TEST_CASE(decodeAnswer_fourthLoadFigure_isAPercentageOrUnreadable)
+{
+    http_head answer;
+    answer.status = 200;
+    const auto decode = [&](const char *text) {
+        answer.fields = {{"X-Server-Load", text}};
+        const answer_summary summary = codec.decodeAnswer(answer).summary;
+        BOOST_TEST((summary.load && summary.load->running == 3 && summary.load->waiting == 1 && summary.load->slots == 8), text);
+        return summary;
+    };
+    BOOST_TEST(!decode("3,1,8").load->timePercent.has_value());
+    BOOST_TEST(decode("3,1,8").unreadableTime.empty());
+    BOOST_TEST(decode("3,1,8,130").load->timePercent.value_or(0) == 130.0);
+    BOOST_TEST(decode("3,1,8,99.5,7").load->timePercent.value_or(0) == 99.5);
+    BOOST_TEST(decode("3,1,8,130").unreadableTime.empty());
+    for (const char *text :
+         {"3,1,8,", "3,1,8,0", "3,1,8,0.0", "3,1,8,-5", "3,1,8,nan", "3,1,8,inf", "3,1,8,fast", "3,1,8, 100", "3,1,8,100%"}) {
+        BOOST_TEST(!decode(text).load->timePercent.has_value(), text);
+        BOOST_TEST(!decode(text).unreadableTime.empty(), text);
+    }
+    BOOST_TEST(decode(("3,1,8," + std::string(1000, 'x')).c_str()).unreadableTime.size() <= 32U);
+}
+
 // Guards against statements of a limit that are misread, and against a request that is lost because of one.
 BOOST_AUTO_TEST_CASE(decodeAnswer_statedLimit_isAFigureOrUnreadable)
 {
--- a/tests/test_upstream_speed.cpp
+++ b/tests/test_upstream_speed.cpp
@@ -523,4 +523,48 @@
     BOOST_TEST(leader.excludingRouter(forA, "b").usage.empty());
 }
 
+// Load: one upstream states that its machine takes three times as long, others that theirs does not, one states no figure at all. Guards
+// against a fourth figure that has no effect, that holds after it is stale, or that is logged more than once.
+BOOST_AUTO_TEST_CASE(fourthFigure_isUsedWhileItIsFresh)
+{
+    entry_fixture fixture;
+    fixture.start(0, 4);
+    const auto answerAll = [&](unsigned count, bool states) {
+        unsigned lines = 0;
+        for (unsigned i = 0; i < count; ++i) {
+            const exchange_id id = fixture.request("read");
+            const std::string instance = fixture.sentTo();
+            fixture.now += 20ms;
+            answer_summary answer {200, false, true, upstream_load {1, 0, 6}};
+            if (states) {
+                answer.load->timePercent = instance == "desk-0" ? 300 : 100;
+                if (instance == "desk-3") {
+                    answer.load->timePercent.reset();
+                    answer.unreadableTime = "fast";
+                }
+            }
+            fixture.apply(entry_event::answer_received {id, answer});
+            for (const entry_core::effect &each : fixture.effects) {
+                const auto *line = std::get_if<log_record>(&each);
+                lines += line != nullptr && line->event == log_event::loadFigureUnreadable ? 1 : 0;
+            }
+            BOOST_TEST(lines <= i + 1);
+            fixture.apply(entry_event::answer_finished {id, {}});
+        }
+        return lines;
+    };
+    answerAll(100, false);
+    BOOST_TEST(fixture.core.upstreams().unusualSpeeds().empty());
+    BOOST_TEST(answerAll(100, true) > 0U);
+    fixture.request("read");
+    const auto slow = fixture.core.upstreams().unusualSpeeds();
+    BOOST_REQUIRE(slow.size() == 1U);
+    BOOST_TEST(slow[0].instance == "desk-0");
+    for (unsigned i = 0; i < 5; ++i) { // a longer gap would count as a pause of the process
+        fixture.tickAt(fixture.now.time_since_epoch() + 1s);
+    }
+    fixture.request("read");
+    BOOST_TEST(fixture.core.upstreams().unusualSpeeds().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
