--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -30,6 +30,7 @@
     std::uint64_t quarantinedParts = 0; // of prompts
     std::map<std::string, entry_core::limited_service> limitedServices; // by service
     std::vector<rollout_report> rollouts;
+    std::vector<upstream_set::speed_change> unusualSpeeds; // of upstreams
 };
 
 class entry_metrics
@@ -47,6 +48,7 @@
 private:
     void setRollouts(const std::vector<rollout_report> &rollouts);
     void setLimits(const std::map<std::string, entry_core::limited_service> &services);
+    void setSlowness(const std::vector<upstream_set::speed_change> &speeds);
 
     daemon_metrics m_metrics;
     prometheus::Family<prometheus::Counter> &m_requests;
@@ -62,6 +64,8 @@
     prometheus::Gauge &m_rulesVersion;
     prometheus::Gauge &m_droppedLines;
     prometheus::Gauge &m_quarantinedParts;
+    prometheus::Family<prometheus::Gauge> &m_slowness;
+    std::vector<prometheus::Gauge *> m_slowUpstreams; // in m_slowness
     std::map<std::string, entry_core::limited_service> m_limitedServices; // with those that had limits before
     std::set<std::string> m_rolloutServices; // that have or had a rollout
     std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> m_requestSeconds;
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -9,6 +9,8 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace
 {
 
@@ -294,6 +296,30 @@
     BOOST_TEST((codec.decodeAnswer(answer).summary.pauseFor == 1h));
 }
 
+// Guards against a load report that is lost because of its fourth figure, and against a figure that stands for no time.
+BOOST_AUTO_TEST_CASE(decodeAnswer_fourthLoadFigure_isAPercentageOrUnreadable)
+{
+    http_head answer;
+    answer.status = 200;
+    const auto decode = [&](const char *text) {
+        answer.fields = {{"X-Server-Load", text}};
+        const answer_summary summary = codec.decodeAnswer(answer).summary;
+        BOOST_TEST((summary.load && summary.load->running == 3 && summary.load->waiting == 1 && summary.load->slots == 8), text);
+        return summary;
+    };
+    BOOST_TEST(!decode("3,1,8").load->timePercent.has_value());
+    BOOST_TEST(decode("3,1,8").unreadableTime.empty());
+    BOOST_TEST(decode("3,1,8,130").load->timePercent.value_or(0) == 130.0);
+    BOOST_TEST(decode("3,1,8,99.5,7").load->timePercent.value_or(0) == 99.5);
+    BOOST_TEST(decode("3,1,8,130").unreadableTime.empty());
+    for (const char *text :
+         {"3,1,8,", "3,1,8,0", "3,1,8,0.0", "3,1,8,-5", "3,1,8,nan", "3,1,8,inf", "3,1,8,fast", "3,1,8, 100", "3,1,8,100%"}) {
+        BOOST_TEST(!decode(text).load->timePercent.has_value(), text);
+        BOOST_TEST(!decode(text).unreadableTime.empty(), text);
+    }
+    BOOST_TEST(decode(("3,1,8," + std::string(1000, 'x')).c_str()).unreadableTime.size() <= 32U);
+}
+
 // Guards against statements of a limit that are misread, and against a request that is lost because of one.
 BOOST_AUTO_TEST_CASE(decodeAnswer_statedLimit_isAFigureOrUnreadable)
 {
@@ -606,6 +632,38 @@
     BOOST_TEST((read.load.rollouts == sent.load.rollouts));
 }
 
+// Guards against figures of the speed that routers of an earlier version cannot skip, or do not have to send.
+BOOST_AUTO_TEST_CASE(heartbeat_withSpeeds_isReadableForEarlierVersions)
+{
+    router_heartbeat sent;
+    sent.name = "a";
+    for (const double factor : {1.0, 2.0, 0.25, 8.0}) {
+        sent.load.usage.push_back({std::uint64_t(7) << 32, 3, 64, {std::log2(factor), 100 * factor}, 4'000'000'000U});
+    }
+    std::string bytes = encodeHeartbeat(sent);
+    const auto read = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
+    BOOST_REQUIRE(read.load.usage.size() == 4U);
+    for (std::size_t i = 0; i < 4; ++i) {
+        const slowness_figure &figure = sent.load.usage[i].slowness;
+        BOOST_TEST(std::abs(read.load.usage[i].slowness.log2Factor - figure.log2Factor) < 0.02);
+        BOOST_TEST(std::abs(read.load.usage[i].slowness.weight / figure.weight - 1) < 0.03);
+        BOOST_TEST(read.load.usage[i].occupiedTokens == 4'000'000'000U);
+    }
+    BOOST_TEST(read.load.usage[0].slowness.log2Factor == 0);
+
+    nlohmann::json document = nlohmann::json::from_msgpack(bytes);
+    BOOST_TEST(document.at(7).get<std::string>().size() == 4U * 8);
+    BOOST_TEST(document.at(16).is_null());
+    BOOST_TEST(document.at(17).get<std::string>().size() == 4U * 6);
+    document.erase(17);
+    document.erase(16);
+    bytes.clear();
+    nlohmann::json::to_msgpack(document, bytes);
+    const auto earlier = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
+    BOOST_TEST(earlier.load.usage.at(0).inFlight == 3U);
+    BOOST_TEST(earlier.load.usage.at(0).slowness.weight == 0);
+}
+
 BOOST_AUTO_TEST_CASE(permitMessage_roundTrip_keepsAllFields)
 {
     const permit_request asked {1ULL << 40, {{7, 8}, 0.5, 12ms}, {-1, 0xffffffff}};
