--- a/include/nutmegtally/rollout_control.h
+++ b/include/nutmegtally/rollout_control.h
@@ -105,7 +105,7 @@
     using effect = std::variant<rollout_effect::write_status, log_record>;
 
     /// @param bounds Without them, orders are ignored and all versions are used alike.
-    rollout_control(std::optional<rollout_bounds> bounds, std::string self);
+    rollout_control(std::optional<rollout_bounds> bounds, const std::string &self);
 
     void setRouters(const std::vector<std::string> &live);
     void setClosedDomains(std::unordered_set<std::string> domains);
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -88,7 +88,7 @@
 
 } // namespace
 
-rollout_control::rollout_control(std::optional<rollout_bounds> bounds, std::string self)
+rollout_control::rollout_control(std::optional<rollout_bounds> bounds, const std::string &self)
     : m_bounds(bounds)
     , m_selfHash(hashText(self))
 {
@@ -640,9 +640,9 @@
 {
     for (auto &[service, rollout] : m_rollouts) {
         const std::uint32_t key = shortHash(service);
-        const auto found = std::find_if(update.rollouts.begin(), update.rollouts.end(), [&](const rollout_counts &each) {
-            return each.service == key && each.order == orderKey(rollout.order);
-        });
+        const std::uint32_t order = orderKey(rollout.order);
+        const auto found = std::find_if(update.rollouts.begin(), update.rollouts.end(),
+                                        [key, order](const rollout_counts &each) { return each.service == key && each.order == order; });
         if (found == update.rollouts.end()) {
             continue;
         }
