Rollouts: a retry does not go back to the old version

Cause: after all requests had moved to the new version, a retry whose upstreams of that version had all been tried went to an old upstream. Change: the old version serves then only while no upstream of the new one is eligible.

--- a/include/nutmegtally/version_filter.h
+++ b/include/nutmegtally/version_filter.h
@@ -14,6 +14,7 @@
     std::vector<std::string> versions; // allowed, or excluded
     bool excludes = false; // the versions are those that are not allowed
     std::vector<std::uint64_t> instances; // hashes of the only instances that are allowed; empty for no such restriction
+    bool endsRetries = false; // the next filter does not apply because all these upstreams were tried, only if none is eligible
     bool yieldsWhenFull = false; // the next filter also applies if these upstreams have no room, not only if none is eligible
 
     /// @param instance Hash of the instance's name.
--- a/src/entry_core_rollouts.cpp
+++ b/src/entry_core_rollouts.cpp
@@ -10,6 +10,18 @@
 namespace nutmegtally
 {
 
+namespace
+{
+
+/// True if a placement found no upstream among those of a filter, so that the next filter applies.
+bool hasNone(placement_outcome outcome, const version_filter *filter)
+{
+    const bool endsRetries = filter != nullptr && filter->endsRetries;
+    return outcome == placement_outcome::noneListed || (outcome == placement_outcome::allTried && !endsRetries);
+}
+
+} // namespace
+
 placement entry_core::chooseAllowed(time_point now, placement_query &wanted, const exchange &work)
 {
     const version_filters filters = m_rollouts.filtersFor(work.service, now);
@@ -17,8 +29,8 @@
     for (std::size_t i = 0; i < std::max<std::size_t>(1, filters.size()); ++i) {
         wanted.versions = filters.empty() ? nullptr : &filters[i];
         choice = m_upstreams.choose(wanted, *work.rules, now);
-        const bool hasNone = choice.outcome == placement_outcome::noneListed || choice.outcome == placement_outcome::allTried;
-        const bool isNextDue = hasNone || (choice.outcome != placement_outcome::chosen && !filters.empty() && filters[i].yieldsWhenFull);
+        const bool isNextDue = hasNone(choice.outcome, wanted.versions)
+                               || (choice.outcome != placement_outcome::chosen && !filters.empty() && filters[i].yieldsWhenFull);
         if (!isNextDue) {
             break;
         }
@@ -43,8 +55,7 @@
         preferred.tried = &work.tried;
         preferred.versions = &each;
         const placement_outcome outcome = m_upstreams.choose(preferred, *work.rules, now).outcome;
-        const bool hasNone = outcome == placement_outcome::noneListed || outcome == placement_outcome::allTried;
-        if (!hasNone && !each.yieldsWhenFull) {
+        if (!hasNone(outcome, &each) && !each.yieldsWhenFull) {
             return false; // the choice was made before an order, a status or an upstream came
         }
     }
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -350,6 +350,7 @@
         break;
     case rollout_state::shift:
         filters.push_back(only(target));
+        filters.back().endsRetries = true; // the base version's upstreams may be stopped at any time
         filters.push_back(only(base));
         break;
     case rollout_state::completed:
--- a/tests/test_entry_core.cpp
+++ b/tests/test_entry_core.cpp
@@ -706,4 +706,29 @@
     BOOST_TEST(sentTo() == "new-0");
 }
 
+// Guards against a second attempt at an old upstream after all requests have moved to a new version: the old ones may stop at any time.
+BOOST_AUTO_TEST_CASE(retry_afterAllRequestsMovedToANewVersion_doesNotGoBack)
+{
+    core = entry_core(entry_options {"self", "domain", {}, false, {}, rollout_bounds {}});
+    start(0, 0);
+    rollout_order order;
+    order.service = "desk";
+    order.target = "v2";
+    order.ramp = 12s;
+    order.status = rollout_status::shift;
+    apply(entry_event::rollout_ordered {order});
+    for (const auto &[instance, version] : {std::pair {"old-0", "v1"}, std::pair {"new-0", "v2"}}) {
+        upstream_record listed = record(instance, "desk", 6);
+        listed.version = version;
+        apply(entry_event::upstream_listed {listed});
+    }
+    const exchange_id id = request("read");
+    BOOST_TEST(sentTo() == "new-0");
+    fail(id, attempt_failure::damaged);
+    BOOST_TEST(sentTo() == "nobody");
+    apply(entry_event::upstream_unlisted {"new-0", 0ms});
+    request("read");
+    BOOST_TEST(sentTo() == "old-0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
