Rollouts: no completion without an upstream of the new version

Cause: an idle service whose new upstreams were all gone was completed, and its old upstreams, which alone could serve, had to stop. Change: completion needs an eligible upstream of the new version.

--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -540,24 +540,24 @@
     if (rollout.order.status == rollout_status::none) {
         return rollout_status::trial;
     }
+    unsigned slots = 0;
+    for (const auto &[instance, known] : m_upstreams) {
+        const versioned_upstream &upstream = known.upstream;
+        const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
+                            && !m_closedDomains.contains(upstream.domain);
+        slots += counts ? upstream.slots : 0;
+    }
     if (rollout.state == rollout_state::trial) {
         std::uint32_t bad = 0;
         for (const route_counts &each : sums.routes) {
             bad += each.target.bad;
         }
-        unsigned slots = 0;
-        for (const auto &[instance, known] : m_upstreams) {
-            const versioned_upstream &upstream = known.upstream;
-            const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
-                                && !m_closedDomains.contains(upstream.domain);
-            slots += counts ? upstream.slots : 0;
-        }
         const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious && !rollout.verdict.isStarved);
         const bool isDue = ageOf(rollout, now) >= shiftAge(rollout, sums);
         const bool hasRoom = slots > 0 && slots >= rollout.inFlight;
         return isFound && isDue && hasRoom ? rollout_status::shift : rollout_status::none;
     }
-    const bool isIdle = rollout.state == rollout_state::shift && sums.routersShifted >= routers() && sums.baseInFlight == 0;
+    const bool isIdle = rollout.state == rollout_state::shift && slots > 0 && sums.routersShifted >= routers() && sums.baseInFlight == 0;
     if (!isIdle) {
         rollout.idleSince.reset();
         return rollout_status::none;
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -512,6 +512,25 @@
     BOOST_TEST(fleet.exposureAboveBound() <= 0);
 }
 
+// Guards against old upstreams that are stopped while there is nothing else to serve.
+BOOST_AUTO_TEST_CASE(completion_noUpstreamOfTheNewVersionIsLeft_waits)
+{
+    rollout_fleet fleet(4, 200, 10, 2);
+    fleet.run(2s);
+    fleet.writeOrder();
+    while (fleet.order->status != rollout_status::shift && fleet.now < fleet.orderedAt + 12s) {
+        fleet.run(50ms);
+    }
+    fleet.perSecond = 0;
+    fleet.unlist("new-0");
+    fleet.unlist("new-1");
+    fleet.run(4s);
+    BOOST_TEST((fleet.order->status == rollout_status::shift));
+    fleet.list(rollout_fleet::upstream("new-2", "v2"));
+    fleet.run(2s);
+    BOOST_TEST((fleet.order->status == rollout_status::completed));
+}
+
 BOOST_AUTO_TEST_CASE(withoutBounds_ordersAreIgnored)
 {
     rollout_control control(std::nullopt, "self");
