--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -367,6 +367,8 @@
             filters.push_back(only(target));
         } else {
             filters.push_back(only(target));
+            // Once all requests have moved, the base version's upstreams may be stopped at any time.
+            filters.back().endsRetries = shiftShare(rollout, now) >= 1;
             filters.push_back(only(base));
         }
         break;
@@ -563,24 +565,24 @@
     if (rollout.order.status == rollout_status::none) {
         return rollout_status::trial;
     }
+    unsigned slots = 0;
+    for (const auto &[instance, known] : m_upstreams) {
+        const versioned_upstream &upstream = known.upstream;
+        const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
+                            && !m_closedDomains.contains(upstream.domain);
+        slots += counts ? upstream.slots : 0;
+    }
     if (rollout.state == rollout_state::trial) {
         std::uint32_t bad = 0;
         for (const route_counts &each : sums.routes) {
             bad += each.target.bad;
         }
-        unsigned slots = 0;
-        for (const auto &[instance, known] : m_upstreams) {
-            const versioned_upstream &upstream = known.upstream;
-            const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
-                                && !m_closedDomains.contains(upstream.domain);
-            slots += counts ? upstream.slots : 0;
-        }
         const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious && !rollout.verdict.isStarved);
         const bool isDue = ageOf(rollout, now) >= shiftAge(rollout, sums);
         const bool hasRoom = slots > 0 && slots >= rollout.inFlight;
         return isFound && isDue && hasRoom ? rollout_status::shift : rollout_status::none;
     }
-    const bool isIdle = rollout.state == rollout_state::shift && sums.routersShifted >= routers() && sums.baseInFlight == 0;
+    const bool isIdle = rollout.state == rollout_state::shift && slots > 0 && sums.routersShifted >= routers() && sums.baseInFlight == 0;
     if (!isIdle) {
         rollout.idleSince.reset();
         return rollout_status::none;
@@ -666,7 +668,7 @@
         const std::uint32_t key = shortHash(service);
         const std::uint32_t order = orderKey(rollout.order);
         const auto found = std::find_if(update.rollouts.begin(), update.rollouts.end(),
-                                        [&](const rollout_counts &each) { return each.service == key && each.order == order; });
+                                        [key, order](const rollout_counts &each) { return each.service == key && each.order == order; });
         if (found == update.rollouts.end()) {
             continue;
         }
