--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -54,6 +54,7 @@
     std::optional<duration> pauseFor = std::nullopt; // the upstream asks this router to send no requests for this time
     std::optional<double> requestsPerSecond = std::nullopt; // that the upstream states to take from all routers together
     std::string unreadableLimit {}; // beginning of such a statement that is no figure
+    std::string unreadableTime {}; // beginning of a time in its load that is no figure, or 0
 };
 
 /// Where and how the body of an answer ended.
@@ -158,6 +159,7 @@
     load_update update;
     bool isCounted = true; // false if another update counts the same requests
     bool isSubstitute = false; // not counted, but of the same scope: from a leader that does not reach the object API
+    std::string covers {}; // whose requests it counts, the same for all leaders of a domain; empty for the source's
 };
 
 /// Another router reported where prompts are cached.
@@ -488,6 +490,7 @@
         phase state = phase::waiting;
         upstream_number upstream = noUpstreamNumber; // of the running attempt
         std::uint64_t prefillTokens = 0; // of the running attempt, as in its placement
+        attempt_size size; // of the running attempt
         duration expectedTime {0}; // to the answer of the running attempt, or to its first event
         bool isVersionCounted = false; // the running attempt was counted for the version of its upstream
         bool isCountedGood = false; // as a good answer
@@ -562,11 +565,21 @@
     /// As upstream_set::choose(), among the versions that rollouts allow.
     placement chooseAllowed(time_point now, placement_query &wanted, const exchange &work);
     /// False if rollouts no longer allow an upstream that was chosen a moment ago.
-    bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const;
+    bool mayUseVersion(time_point now, const exchange &work, upstream_number upstream);
     void noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice);
+    /// Takes the start of an attempt back whose upstream could not be reached.
+    void noteVersionUnreachable(const exchange &work, attempt_failure failure);
     /// Counts the outcome of the running attempt for the version of its upstream, once.
     void countVersionAnswer(time_point now, exchange &work, answer_quality quality);
     void updateRollouts(time_point now, std::vector<effect> &effects);
+    void recordLoad(time_point now, const exchange &work, const answer_summary &answer, std::vector<effect> &effects);
+    /// Records that the running attempt has a good answer.
+    void noteGoodAnswer(time_point now, exchange &work, bool isSuccess);
+    /// Learns from the time of the running attempt.
+    /// @param isAtLeast There is no answer yet.
+    void learnSpeed(time_point now, const exchange &work, bool isAtLeast);
+    void logSpeeds(std::vector<effect> &effects);
+    void logChanges(std::vector<effect> &effects);
     static void append(const std::vector<rollout_control::effect> &decisions, std::vector<effect> &effects);
     /// Goes on with a request whose upstream was checked.
     void followCheck(time_point now, exchange_id id, exchange &work, bool isDown, std::vector<effect> &effects);
--- a/include/nutmegtally/mechanism.h
+++ b/include/nutmegtally/mechanism.h
@@ -34,13 +34,15 @@
     requestPriority, // engines are told the priority of requests
     promptQuarantine, // prompt parts that crash engines are held back
     admissionOrder, // arrivals wait behind more urgent requests, accounts get fair shares, and refusals state the expected wait
+    learnedSpeed, // placement uses the speed of upstreams that was learned from their answers, and the memory that routers report
     count
 };
 
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(mechanism::count)> mechanismNames = {
-    "cached_prefix",  "preferred_engines", "prefix_fetch",         "prompt_announcements", "cache_queries",   "peer_load", "reported_load",
-    "load_bound",     "random_spread",     "cross_domain_penalty", "failure_penalty",      "ejection",        "queueing",  "queue_order",
-    "overdue_resend", "stream_resumption", "request_priority",     "prompt_quarantine",    "admission_order",
+    "cached_prefix",     "preferred_engines", "prefix_fetch",      "prompt_announcements", "cache_queries",
+    "peer_load",         "reported_load",     "load_bound",        "random_spread",        "cross_domain_penalty",
+    "failure_penalty",   "ejection",          "queueing",          "queue_order",          "overdue_resend",
+    "stream_resumption", "request_priority",  "prompt_quarantine", "admission_order",      "learned_speed",
 };
 
 constexpr std::string_view nameOf(mechanism each)
--- a/include/nutmegtally/rollout_control.h
+++ b/include/nutmegtally/rollout_control.h
@@ -105,7 +105,7 @@
     using effect = std::variant<rollout_effect::write_status, log_record>;
 
     /// @param bounds Without them, orders are ignored and all versions are used alike.
-    rollout_control(std::optional<rollout_bounds> bounds, std::string self);
+    rollout_control(std::optional<rollout_bounds> bounds, const std::string &self);
 
     void setRouters(const std::vector<std::string> &live);
     void setClosedDomains(std::unordered_set<std::string> domains);
@@ -130,7 +130,10 @@
     version_class classOf(const std::string &service, std::string_view version) const;
 
     /// Counts an attempt that is being sent.
-    void recordStart(const std::string &service, std::string_view version);
+    void recordStart(const std::string &service, std::string_view version, time_point now);
+
+    /// Takes an attempt back that never reached its upstream: the bound is a share of the requests that upstreams receive.
+    void recordUnreachable(const std::string &service, std::string_view version);
 
     /// Counts an answer, or the break of one that was counted as good.
     /// @param upstream Hash of the instance's name.
@@ -151,9 +154,10 @@
 
     /// Takes the counts of another router or the sums of a leader.
     /// @param isCounted False if another update counts the same requests: only ages and faults are taken.
-    /// @param isSubstitute Counts nevertheless while no counted update of the same source comes: the requests of routers that do not
+    /// @param isSubstitute Counts nevertheless while no counted update of the same routers comes: the requests of routers that do not
     /// reach the object API must not be missing when the old upstreams are stopped.
-    void applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, time_point now);
+    /// @param covers Whose requests it counts. An update replaces the one before it of the same routers, whichever leader sent that.
+    void applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, const std::string &covers, time_point now);
 
     /// Forgets the counts of all other routers: sums contain requests that single updates counted before.
     void forgetUpdates();
@@ -172,6 +176,7 @@
         load_scope scope = load_scope::router;
         rollout_counts counts;
         time_point receivedAt;
+        std::string source;
         bool isSubstitute = false;
     };
 
@@ -212,10 +217,12 @@
         std::unordered_map<std::uint64_t, broken_answers> broken; // that are not counted yet, by hash of the upstream
         std::array<duration, 2> longestBaseAnswers {}; // in the current and the last span of limits::longestAnswerTime
         time_point longestSince; // start of the current span
+        std::optional<time_point> shiftingSince; // when this router learned of the shift
+        double shiftCredit = 0; // requests that the share of the shift allows beyond those that were sent
         rollout_fault fault = rollout_fault::none; // of this router's verdict, or told by another
         rollout_verdict verdict;
         rollout_judge judge;
-        std::map<std::string, peer_counts> fromPeers; // by source of the load update
+        std::map<std::string, peer_counts> fromPeers; // by whose requests they count
         std::optional<time_point> wishesSince; // for the status that is to be written next
         rollout_status wish = rollout_status::none;
         time_point nextWriteAt;
@@ -225,12 +232,14 @@
 
     static void addBroken(service_rollout &rollout, version_class which, std::uint64_t upstream, time_point now);
     void setState(service_rollout &rollout, rollout_state state, std::vector<effect> &effects);
-    void adoptStatus(service_rollout &rollout, std::vector<effect> &effects);
+    void adoptStatus(service_rollout &rollout, time_point now, std::vector<effect> &effects);
     std::string baseVersion(const service_rollout &rollout) const;
     bool hasBase(const service_rollout &rollout) const;
     const std::map<std::string, known_version> &versionsOf(const std::string &service) const;
     std::size_t routers() const;
     bool hasQuota(const service_rollout &rollout) const;
+    /// Part of the requests that the target version gets in a shift. It doubles until it is 1.
+    double shiftShare(const service_rollout &rollout, time_point now) const;
     /// Hashes of the target's upstreams that the trial uses. All routers choose the same ones.
     std::vector<std::uint64_t> trialUpstreams(const service_rollout &rollout, const std::string &base) const;
     rollout_counts own(const service_rollout &rollout, time_point now) const;
--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -10,6 +10,7 @@
 #include <nutmegtally/rollout_control.h>
 #include <nutmegtally/time.h>
 #include <nutmegtally/traffic_rules.h>
+#include <nutmegtally/upstream_speed.h>
 #include <nutmegtally/version_filter.h>
 
 #include <array>
@@ -51,12 +52,9 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    std::optional<double> timePercent {}; // time that work takes on its machine now; 100 is usual
 };
 
-/// Number of one incarnation of an upstream. Never reused, so late events of an earlier incarnation are ignored.
-using upstream_number = std::uint32_t;
-inline constexpr upstream_number noUpstreamNumber = 0;
-
 /// Properties of a request that placement uses.
 struct placement_query {
     std::string_view service;
@@ -101,6 +99,8 @@
     placement_outcome outcome = placement_outcome::noneListed;
     upstream_number upstream = noUpstreamNumber;
     double score = 0; // expected delay in milliseconds
+    double learnedMs = 0; // of the score, because of the learned speed of the upstream
+    double slowness = 1; // learned factor of the upstream's answer times
     double load = 0; // estimated requests at the upstream before this one
     duration loadAge {0}; // since the upstream's last load report
     std::uint64_t cachedTokens = 0; // of the prompt, that the upstream probably has cached
@@ -131,6 +131,8 @@
     std::uint32_t inFlight = 0;
     std::uint32_t pendingPrefillTokens = 0;
     time_point receivedAt;
+    slowness_figure slowness {};
+    std::uint32_t occupiedTokens = 0; // 0 if the source does not state it
 };
 
 /// State of one listed incarnation of an upstream.
@@ -195,11 +197,29 @@
     /// Counts a request that is being sent.
     /// @param prefillTokens As in placement.
     /// @param kvTokens Prompt and output tokens of the request.
-    void start(upstream_number number, const prompt_parts &parts, std::uint64_t prefillTokens, std::uint64_t kvTokens, time_point now);
+    /// @return What the upstream has to do for it, for recordSpeed().
+    attempt_size start(upstream_number number, const prompt_parts &parts, std::uint64_t prefillTokens, std::uint64_t kvTokens,
+                       time_point now);
 
     /// Ends the prefill of a request: its first event, or its whole answer, was received.
     void markFirstEvent(upstream_number number, std::uint64_t prefillTokens);
 
+    /// Learns from the time of a successful answer, or of the first event of a stream.
+    void recordSpeed(upstream_number number, const speed_sample &sample, time_point now);
+
+    /// An upstream with its learned factor.
+    struct speed_change {
+        std::string instance;
+        double factor = 1;
+        unsigned inFlight = 0; // this router's requests there
+    };
+
+    /// Upstreams whose factor left the usual range or came back to it since the last call.
+    std::vector<speed_change> takeSpeedChanges();
+
+    /// Upstreams whose factor is not 1.
+    std::vector<speed_change> unusualSpeeds() const;
+
     /// Applies a load update of another router.
     /// @param isCounted False if another update counts the same requests; then only prompts and leaving upstreams are applied.
     void applyUpdate(const load_update &update, bool isCounted, time_point now);
@@ -310,6 +330,8 @@
         upstream_entry *state = nullptr;
         double load = 0;
         bool isLimited = false; // states a limit of requests
+        learned_speed speed {};
+        bool isHeldBack = false; // as in upstream_speed::heldBack()
     };
 
     /// Cache state of one prompt.
@@ -323,6 +345,7 @@
     /// @param outgoing Receives the prompts to announce to other routers; null for none.
     void recordPrompts(const std::vector<prompt_location> &prompts, std::vector<prompt_location> *outgoing, time_point now);
     void applyUsage(const load_update &update, time_point now);
+    upstream_usage ownUsage(const upstream_entry &state, time_point now) const;
     load_update sumOfLoads(load_scope scope, time_point now) const;
     void addLeaving(load_update &update, time_point now) const;
     const upstream_number *numberOf(std::uint64_t hash) const;
@@ -347,10 +370,20 @@
     /// Estimated amount per upstream that other routers have placed but not reported yet.
     double unreportedByOthers(const recent_sum &own, std::size_t upstreams, time_point now) const;
     /// Estimated prefill time per engine of the prompts that other routers have placed but not reported yet.
-    double unreportedPrefillMs(std::size_t engines, time_point now) const;
+    double unreportedPrefillMs(std::string_view service, std::size_t engines, time_point now) const;
     /// Estimated requests that other routers have started at each upstream of a service but not reported yet.
     double unreportedStarts(std::string_view service, std::size_t upstreams, time_point now) const;
     upstream_entry *mutableState(upstream_number number);
+    void refreshSpeeds(std::string_view service, time_point now);
+    /// Memory of an engine that the requests of all routers occupy, in tokens.
+    /// @param load Estimated requests there.
+    double occupiedTokens(const upstream_entry &upstream, double load, time_point now) const;
+    /// According to other routers.
+    static slowness_figure peerSlowness(const upstream_entry &upstream, time_point now);
+    learned_speed speedOf(const upstream_entry &upstream) const;
+    engine_speed usualSpeedOf(std::string_view service) const;
+    void holdBackUnproven(std::vector<candidate> &eligible, time_point now) const;
+    std::vector<speed_change> named(const std::vector<upstream_speed::change> &changes) const;
 
     std::string m_ownDomain;
     mechanism_set m_mechanisms;
@@ -383,6 +416,7 @@
     upstream_number m_lastNumber = noUpstreamNumber;
     std::unordered_map<std::string, recent_sum> m_recentStarts; // of this router's requests, by service
     recent_sum m_recentPrefillTokens; // of this router's requests
+    upstream_speed m_speeds;
     duration m_updateInterval {0}; // moving average of the time between two load updates of one source
 };
 
--- a/programs/entry/entry_metrics.cpp
+++ b/programs/entry/entry_metrics.cpp
@@ -18,6 +18,7 @@
     , m_droppedLines(m_metrics.gauge("nutmegtally_entry_log_lines_dropped", "Log lines dropped since the start"))
     , m_quarantinedParts(
           m_metrics.gauge("nutmegtally_entry_quarantined_parts", "Prompt parts that are quarantined because they crash engines"))
+    , m_slowness(m_metrics.gaugeFamily("nutmegtally_entry_upstream_slowness", "Learned time of an upstream's answers over the usual time"))
     , m_requestSeconds {
           &m_metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "idempotent"}}),
           &m_metrics.seconds("nutmegtally_entry_request_seconds", "Time to the final answer", {{"kind", "non_idempotent"}}),
@@ -81,6 +82,47 @@
     }
 }
 
+void entry_metrics::setRollouts(const std::vector<rollout_report> &rollouts)
+{
+    const auto setState = [this](const std::string &service, std::optional<rollout_state> state) {
+        for (std::size_t i = 0; i < rolloutStateNames.size(); ++i) {
+            const metric_labels labels {{"service", service}, {"state", std::string(rolloutStateNames[i])}};
+            m_metrics.gauge("nutmegtally_entry_rollout_state", "1 for the state of a service's rollout", labels)
+                .Set(state == static_cast<rollout_state>(i) ? 1 : 0);
+        }
+    };
+    for (const std::string &service : m_rolloutServices) {
+        setState(service, std::nullopt);
+    }
+    for (const rollout_report &rollout : rollouts) {
+        m_rolloutServices.insert(rollout.service);
+        setState(rollout.service, rollout.state);
+        const auto set = [&](const char *version, const char *result, std::uint32_t answers) {
+            m_metrics
+                .gauge("nutmegtally_entry_rollout_answers", "Answers since the order, over all routers",
+                       {{"service", rollout.service}, {"version", version}, {"result", result}})
+                .Set(static_cast<double>(answers));
+        };
+        set("base", "all", rollout.base.answers);
+        set("base", "bad", rollout.base.bad);
+        set("base", "slow", rollout.base.slow);
+        set("target", "all", rollout.targetCounts.answers);
+        set("target", "bad", rollout.targetCounts.bad);
+        set("target", "slow", rollout.targetCounts.slow);
+    }
+}
+
+void entry_metrics::setSlowness(const std::vector<upstream_set::speed_change> &speeds)
+{
+    for (prometheus::Gauge *gauge : m_slowUpstreams) {
+        m_slowness.Remove(gauge);
+    }
+    m_slowUpstreams.clear();
+    for (const upstream_set::speed_change &each : speeds) {
+        m_slowUpstreams.push_back(&m_slowness.Add({{"upstream", each.instance}}, each.factor));
+    }
+}
+
 std::string entry_metrics::text(const entry_gauges &gauges)
 {
     m_callers.Set(static_cast<double>(gauges.callers));
@@ -95,6 +137,8 @@
     m_quarantinedParts.Set(static_cast<double>(gauges.quarantinedParts));
     setLimits(gauges.limitedServices);
     setBacklogs(gauges.backlogs);
+    setRollouts(gauges.rollouts);
+    setSlowness(gauges.unusualSpeeds);
     return m_metrics.text();
 }
 
--- a/programs/entry/entry_metrics.h
+++ b/programs/entry/entry_metrics.h
@@ -8,8 +8,11 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace nutmegtally
 {
@@ -28,6 +31,8 @@
     std::uint64_t quarantinedParts = 0; // of prompts
     std::map<std::string, entry_core::limited_service> limitedServices; // by service
     std::map<std::pair<std::string, int>, admission_order::backlog> backlogs; // by service and priority
+    std::vector<rollout_report> rollouts;
+    std::vector<upstream_set::speed_change> unusualSpeeds; // of upstreams
 };
 
 class entry_metrics
@@ -43,8 +48,10 @@
     std::string text(const entry_gauges &gauges);
 
 private:
+    void setRollouts(const std::vector<rollout_report> &rollouts);
     void setLimits(const std::map<std::string, entry_core::limited_service> &services);
     void setBacklogs(const std::map<std::pair<std::string, int>, admission_order::backlog> &backlogs);
+    void setSlowness(const std::vector<upstream_set::speed_change> &speeds);
 
     daemon_metrics m_metrics;
     prometheus::Family<prometheus::Counter> &m_requests;
@@ -60,8 +67,11 @@
     prometheus::Gauge &m_rulesVersion;
     prometheus::Gauge &m_droppedLines;
     prometheus::Gauge &m_quarantinedParts;
+    prometheus::Family<prometheus::Gauge> &m_slowness;
+    std::vector<prometheus::Gauge *> m_slowUpstreams; // in m_slowness
     std::map<std::string, entry_core::limited_service> m_limitedServices; // with those that had limits before
     std::map<std::pair<std::string, int>, admission_order::backlog> m_backlogs; // with those where requests waited before
+    std::set<std::string> m_rolloutServices; // that have or had a rollout
     std::array<prometheus::Histogram *, static_cast<std::size_t>(request_kind::count)> m_requestSeconds;
 };
 
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -272,7 +272,8 @@
     work.prefillTokens = choice.prefillTokens;
     noteVersionStart(work, upstream, choice);
     noteAdmission(now, id, work);
-    m_upstreams.start(choice.upstream, parts, work.prefillTokens, work.request.promptTokens + work.request.outputTokens, now);
+    work.size = m_upstreams.start(choice.upstream, parts, work.prefillTokens, work.request.promptTokens + work.request.outputTokens, now);
+    work.size.isMeasurable = work.size.isMeasurable && choice.fetchFrom.empty() && !work.isResume;
 
     entry_effect::start_attempt attempt;
     attempt.exchange = id;
@@ -295,6 +296,7 @@
         .with("send", work.sends)
         .with("score_ms", choice.score)
         .with("load", choice.load)
+        .with("slowness", choice.slowness)
         .with("limit_per_s", m_limits.limitOf(upstream.limitKey()).value_or(0))
         .with("load_age_ms", choice.loadAge)
         .with("candidates", choice.candidates)
@@ -360,9 +362,7 @@
     }
     exchange &work = found->second;
     const answer_summary &answer = input.answer;
-    if (answer.load) {
-        m_upstreams.recordReport(work.upstream, *answer.load, now);
-    }
+    recordLoad(now, work, answer, effects);
     applyUpstreamSignals(now, work, answer, effects);
     log_line line = attemptLogLine(now, work);
     line.with("status", answer.status).with("not_run", answer.notRun).with("signed", answer.isSigned);
@@ -413,10 +413,7 @@
     } else {
         work.wasOverdue = false;
         effects.push_back(record(log_event::answerReceived, line));
-        m_upstreams.markFirstEvent(work.upstream, work.prefillTokens);
-        work.awaitsFirstEvent = false;
-        countVersionAnswer(now, work, answer_quality::good);
-        m_upstreams.recordResult(work.upstream, attempt_result::succeeded, now);
+        noteGoodAnswer(now, work, isSuccess);
     }
     work.state = phase::relaying;
     work.isSuccess = isSuccess;
@@ -437,6 +434,7 @@
     if (wasSent) {
         countVersionAnswer(now, work, input.failure == attempt_failure::damaged ? answer_quality::bad : answer_quality::broken);
     }
+    noteVersionUnreachable(work, input.failure);
     checkUpstream(work, input.failure, effects);
     endAttempt(now, work, wasSent ? attempt_result::lost : attempt_result::unreachable);
     work.state = phase::waiting;
@@ -537,7 +535,8 @@
 void entry_core::on(time_point now, const entry_event::load_update_received &input, std::vector<effect> &)
 {
     m_upstreams.applyUpdate(input.update, input.isCounted, now);
-    m_rollouts.applyUpdate(input.update, input.isCounted, input.isSubstitute, now);
+    m_rollouts.applyUpdate(input.update, input.isCounted, input.isSubstitute, input.covers.empty() ? input.update.source : input.covers,
+                           now);
     m_order.applyUpdate(input.update, input.isCounted && m_options.mechanisms.has(mechanism::peerLoad), now);
 }
 
@@ -576,7 +575,7 @@
         effects.push_back(record(log_event::upstreamUnlisted, line));
     }
     m_quarantine.tick(now);
-    logQuarantine(effects);
+    logChanges(effects);
     std::erase_if(m_trials, [this](const auto &trial) { return !m_exchanges.contains(trial.second); });
     queryCaches(now, effects);
     updateRollouts(now, effects);
@@ -645,6 +644,7 @@
         return;
     }
     effects.push_back(entry_effect::stop_attempt {id});
+    learnSpeed(now, work, true);
     endAttempt(now, work, attempt_result::overdue);
     work.lastFailure = refusal_reason::timeoutUnknown;
     work.mayHaveRun = refusal_reason::timeoutUnknown;
--- a/src/entry_core_rollouts.cpp
+++ b/src/entry_core_rollouts.cpp
@@ -10,6 +10,18 @@
 namespace nutmegtally
 {
 
+namespace
+{
+
+/// True if a placement found no upstream among those of a filter, so that the next filter applies.
+bool hasNone(placement_outcome outcome, const version_filter *filter)
+{
+    const bool endsRetries = filter != nullptr && filter->endsRetries;
+    return outcome == placement_outcome::noneListed || (outcome == placement_outcome::allTried && !endsRetries);
+}
+
+} // namespace
+
 placement entry_core::chooseAllowed(time_point now, placement_query &wanted, const exchange &work)
 {
     const version_filters filters = m_rollouts.filtersFor(work.service, now);
@@ -17,8 +29,8 @@
     for (std::size_t i = 0; i < std::max<std::size_t>(1, filters.size()); ++i) {
         wanted.versions = filters.empty() ? nullptr : &filters[i];
         choice = m_upstreams.choose(wanted, *work.rules, now);
-        const bool hasNone = choice.outcome == placement_outcome::noneListed || choice.outcome == placement_outcome::allTried;
-        const bool isNextDue = hasNone || (choice.outcome != placement_outcome::chosen && !filters.empty() && filters[i].yieldsWhenFull);
+        const bool isNextDue = hasNone(choice.outcome, wanted.versions)
+                               || (choice.outcome != placement_outcome::chosen && !filters.empty() && filters[i].yieldsWhenFull);
         if (!isNextDue) {
             break;
         }
@@ -27,22 +39,45 @@
     return choice;
 }
 
-bool entry_core::mayUseVersion(time_point now, const exchange &work, upstream_number upstream) const
+bool entry_core::mayUseVersion(time_point now, const exchange &work, upstream_number upstream)
 {
     const upstream_entry *state = m_upstreams.find(upstream);
     const version_filters filters = m_rollouts.filtersFor(work.service, now);
-    return state != nullptr && (filters.empty() || std::any_of(filters.begin(), filters.end(), [state](const version_filter &each) {
-                                    return each.allows(state->record.version, state->hash);
-                                }));
+    if (state == nullptr || filters.empty()) {
+        return state != nullptr;
+    }
+    for (const version_filter &each : filters) {
+        if (each.allows(state->record.version, state->hash)) {
+            return true;
+        }
+        placement_query preferred;
+        preferred.service = work.service;
+        preferred.tried = &work.tried;
+        preferred.versions = &each;
+        const placement_outcome outcome = m_upstreams.choose(preferred, *work.rules, now).outcome;
+        if (!hasNone(outcome, &each) && !each.yieldsWhenFull) {
+            return false; // the choice was made before an order, a status or an upstream came
+        }
+    }
+    return false;
 }
 
 void entry_core::noteVersionStart(exchange &work, const upstream_entry &upstream, const placement &choice)
 {
     work.isVersionCounted = false;
     work.isCountedGood = false;
-    const std::chrono::duration<double, std::milli> predicted(limits::expectedTimeFloorMs + std::max(0.0, choice.score));
+    // Without the learned speed of this upstream: otherwise a slow version would be expected to be slow, and count as good.
+    const std::chrono::duration<double, std::milli> predicted(limits::expectedTimeFloorMs + std::max(0.0, choice.score - choice.learnedMs));
     work.expectedTime = work.route->carriesPrompt ? std::chrono::duration_cast<duration>(predicted) : work.route->target;
-    m_rollouts.recordStart(work.service, upstream.record.version);
+    m_rollouts.recordStart(work.service, upstream.record.version, work.sentAt);
+}
+
+void entry_core::noteVersionUnreachable(const exchange &work, attempt_failure failure)
+{
+    const upstream_entry *upstream = m_upstreams.find(work.upstream);
+    if (failure == attempt_failure::unreachable && upstream != nullptr) {
+        m_rollouts.recordUnreachable(work.service, upstream->record.version);
+    }
 }
 
 void entry_core::countVersionAnswer(time_point now, exchange &work, answer_quality quality)
--- a/src/limits.h
+++ b/src/limits.h
@@ -242,8 +242,14 @@
 inline constexpr double minRolloutShareDifference = 0.1; // of bad or slow answers, above the base version's share
 inline constexpr double rolloutVerdictZ = 4; // the counts are tested several times a second, so chance would exceed a smaller value
 inline constexpr double rolloutSuspicionZ = 3; // a version this much worse is not found good yet
+// Of bad or slow answers, above the base version's share, for a suspicion. Without it, one failure of the target on trial beside none of
+// the base is suspicious for ever: z is then the root of the ratio of their answers, about 3.4.
+inline constexpr double minSuspicionShareDifference = 0.03;
 inline constexpr std::uint32_t minRolloutAnswers = 20; // of a version that is found good
 inline constexpr std::uint32_t minRolloutRouteAnswers = 3; // of it on each route with minRolloutBaseAnswers
+// Of the base version's answers, that a version on trial has at least. A trial brings about 0.08; at less than 0.03, more than chance
+// keeps requests from it, and the lack of bad answers shows nothing.
+inline constexpr double minTrialAnswerShare = 0.03;
 inline constexpr std::uint32_t minRolloutBaseAnswers = 20; // of the base version in a window; with fewer, all since the order count
 inline constexpr double slowAnswerFactor = 2.5; // of the base version's usual time on the route
 inline constexpr std::uint32_t minUsualTimeAnswers = 12; // of the base version on a route, for its usual time
@@ -255,6 +261,8 @@
 inline constexpr double trialSlackShare = 0.3; // of the fleet's slack, divided among the routers; some may restart in the trial
 inline constexpr duration unknownVersionHold = 2s; // of upstreams of a new version until the orders are known; a list takes less
 inline constexpr double minTrialTime = 0.4; // of the ramp, before all requests go to the new version
+inline constexpr duration shiftDoublingTime
+    = 500ms; // of the share in a shift; a fault that shows with more load is found before all requests move
 inline constexpr duration completionMargin = 1500ms; // for the status to reach all routers, and their counts to come back
 inline constexpr duration rolloutTurnDelay = 400ms; // between two routers that may write a status; a write takes less
 inline constexpr std::size_t maxRolloutTurns = 8;
@@ -290,4 +298,41 @@
 inline constexpr duration admissionReportInterval = 1s; // between two reports of the backlog to the log
 inline constexpr std::size_t maxReportedAccounts = 32; // of a service, in one report
 
+// Learned speed of upstreams.
+inline constexpr double usualSpeedRange = 1.15; // factor around the median in which upstreams count as alike
+inline constexpr duration speedHalfLife = 10s; // of the weight of an upstream's answers, and of its factor when it is not seen
+// Without a decay of the factor: each of many routers sends a request to an upstream only every few seconds.
+inline constexpr duration speedUnseenGrace = 5s;
+inline constexpr duration speedForgetTime = 30s; // an upstream that was not seen for this time is tried like a new one
+inline constexpr duration speedFitHalfLife = 30s; // of the answers in the usual time of a service
+inline constexpr double speedPriorSamples = 1.0; // answers that the default speed counts as
+inline constexpr double minSpeedFitSamples = 10; // answers of a service until its usual time is known; fewer give no usable line
+inline constexpr double minExpectedMs = 0.1; // of an answer; a shorter time is not measured reliably
+inline constexpr double minPrefillTokensPerMs = 10;
+inline constexpr double maxPrefillTokensPerMs = 500;
+inline constexpr double minStepMs = 0.2;
+inline constexpr double maxStepMs = 20;
+inline constexpr double minSlowness = 0.25; // a larger difference between servers of one service is a fault of the measurement
+inline constexpr double maxSlowness = 8;
+inline constexpr double minSpeedSamples = 3; // answers of an upstream; fewer say nothing about it
+inline constexpr double maxSpeedWeight = 16; // answers in an upstream's moving average; more would follow a recovery too late
+inline constexpr double speedVarianceWeight = 0.02; // of the newest answer in the variance of the times of a service
+inline constexpr double speedErrors = 3; // standard errors; a smaller difference is chance
+inline constexpr duration statedSpeedHalfLife = 1s; // of an upstream's statement about its machine, which changes many times a second
+inline constexpr double statedSpeedShare = 0.5; // of an answer's weight that a statement has; it is old when it arrives
+inline constexpr double maxStatedSpeedWeight = 8; // statements; with their share a quarter of maxSpeedWeight
+inline constexpr double minStatedSpeedWeight = 0.05;
+inline constexpr double minSentSpeedWeight = 0.5; // answers; other routers get no figure that rests on less
+inline constexpr duration speedRefreshInterval = 100ms; // between two computations of the factors of a service; load updates come as often
+inline constexpr duration minSpeedNoteInterval = 1s; // between two log lines about an upstream's factor
+inline constexpr double minLoadTrendSamples = 12; // answers of an upstream; fewer give no usable line
+inline constexpr double minLoadTrendVariance = 0.25; // of the load in requests; at an almost constant load no trend shows
+inline constexpr double loadTrendErrors = 4; // standard errors; the trend is tested with each answer, so chance would exceed fewer
+inline constexpr double usualLoadUse = 0.7; // of an upstream's usual load, from which an answer shows that it could take more
+inline constexpr double usualLoadGrowthPerSecond = 0.03; // while answers come in the usual time
+inline constexpr double maxUsualLoad = 1000; // requests; a larger one bounds nothing
+inline constexpr double overUsualLoadMs = 60; // per request over the usual load, relative to it; as for requests over an upstream's slots
+inline constexpr double unprovenLoadShare = 0.5; // of the service's mean load, for an upstream that is new or was not seen lately
+inline constexpr double unprovenPenaltyMs = 2000; // for an upstream that has this share; above all other terms of a usual score
+
 } // namespace nutmegtally::limits
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr double maxDoublings = 10; // of the share in a shift; one that begins at nothing ends after these
+
 std::uint32_t shortHash(std::string_view text)
 {
     return static_cast<std::uint32_t>(hashText(text) >> 32);
@@ -88,7 +90,7 @@
 
 } // namespace
 
-rollout_control::rollout_control(std::optional<rollout_bounds> bounds, std::string self)
+rollout_control::rollout_control(std::optional<rollout_bounds> bounds, const std::string &self)
     : m_bounds(bounds)
     , m_selfHash(hashText(self))
 {
@@ -189,11 +191,12 @@
     } else {
         rollout.order = order; // a final state stays in force if the store lost it, and is written again
     }
-    adoptStatus(rollout, effects);
+    adoptStatus(rollout, now, effects);
 }
 
-void rollout_control::adoptStatus(service_rollout &rollout, std::vector<effect> &effects)
+void rollout_control::adoptStatus(service_rollout &rollout, time_point now, std::vector<effect> &effects)
 {
+    const bool isBad = rollout.fault != rollout_fault::none;
     switch (rollout.order.status) {
     case rollout_status::completed:
         setState(rollout, rollout_state::completed, effects);
@@ -202,13 +205,14 @@
         setState(rollout, rollout_state::rolledBack, effects);
         break;
     case rollout_status::shift:
-        if (isOpen(rollout.state) && rollout.state != rollout_state::suspected) {
-            setState(rollout, rollout_state::shift, effects);
+        if (isOpen(rollout.state) || rollout.state == rollout_state::withdrawn) {
+            rollout.shiftingSince = rollout.shiftingSince.value_or(now);
+            setState(rollout, isBad ? rollout_state::suspected : rollout_state::shift, effects);
         }
         break;
     default:
         if (rollout.state == rollout_state::withdrawn) {
-            setState(rollout, rollout_state::trial, effects);
+            setState(rollout, isBad ? rollout_state::suspected : rollout_state::trial, effects);
         }
         break;
     }
@@ -268,6 +272,16 @@
     return static_cast<double>(rollout.targetStarts + 1) <= share * static_cast<double>(rollout.starts + 1) + slack;
 }
 
+double rollout_control::shiftShare(const service_rollout &rollout, time_point now) const
+{
+    if (!rollout.shiftingSince) {
+        return 1;
+    }
+    const double doublings
+        = std::chrono::duration<double>(now - *rollout.shiftingSince) / std::chrono::duration<double>(limits::shiftDoublingTime);
+    return std::min(1.0, limits::trialQuotaShare * m_bounds->trialShare * std::exp2(std::min(doublings, maxDoublings)));
+}
+
 std::vector<std::uint64_t> rollout_control::trialUpstreams(const service_rollout &rollout, const std::string &base) const
 {
     struct ranked {
@@ -304,7 +318,7 @@
     }
     const auto found = m_rollouts.find(service);
     if (found == m_rollouts.end()) {
-        // An order may exist that this router does not know yet. The version of most upstreams serves in any case.
+        // An order may exist that this router does not know yet. Where no version is familiar, that of most upstreams serves.
         version_filter familiar;
         std::string most;
         std::size_t count = 0;
@@ -319,7 +333,9 @@
             }
         }
         if (familiar.versions.size() < versions.size()) {
-            familiar.versions.push_back(most);
+            if (familiar.versions.empty()) {
+                familiar.versions.push_back(most);
+            }
             filters.push_back(std::move(familiar));
             filters.push_back(any());
         }
@@ -330,7 +346,7 @@
     const std::string base = baseVersion(rollout);
     switch (rollout.state) {
     case rollout_state::trial:
-        if (!rollout.hadBase) {
+        if (!rollout.hadBase && !hasBase(rollout)) {
             filters.push_back(any());
             break;
         }
@@ -346,8 +362,15 @@
         filters.push_back(except(target));
         break;
     case rollout_state::shift:
-        filters.push_back(only(target));
-        filters.push_back(only(base));
+        if (shiftShare(rollout, now) < 1 && rollout.shiftCredit < 1) {
+            filters.push_back(only(base));
+            filters.push_back(only(target));
+        } else {
+            filters.push_back(only(target));
+            // Once all requests have moved, the base version's upstreams may be stopped at any time.
+            filters.back().endsRetries = shiftShare(rollout, now) >= 1;
+            filters.push_back(only(base));
+        }
         break;
     case rollout_state::completed:
         filters.push_back(only(target));
@@ -377,14 +400,27 @@
     return version == baseVersion(found->second) ? version_class::base : version_class::other;
 }
 
-void rollout_control::recordStart(const std::string &service, std::string_view version)
+void rollout_control::recordStart(const std::string &service, std::string_view version, time_point now)
 {
     const auto found = m_rollouts.find(service);
     if (found == m_rollouts.end()) {
         return;
     }
     ++found->second.starts;
-    found->second.targetStarts += version == found->second.order.target ? 1 : 0;
+    const bool isTarget = version == found->second.order.target;
+    found->second.targetStarts += isTarget ? 1 : 0;
+    if (found->second.state == rollout_state::shift) {
+        found->second.shiftCredit += shiftShare(found->second, now) - (isTarget ? 1 : 0);
+    }
+}
+
+void rollout_control::recordUnreachable(const std::string &service, std::string_view version)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end() || version == found->second.order.target) {
+        return; // an attempt at the target version stays counted: it may have got there
+    }
+    found->second.starts -= found->second.starts > 0 ? 1 : 0;
 }
 
 void rollout_control::recordAnswer(const std::string &service, std::string_view version, std::uint64_t upstream, std::string_view route,
@@ -483,7 +519,7 @@
     counts.order = orderKey(rollout.order);
     counts.age = ageOf(rollout, now);
     counts.fault = rollout.fault;
-    counts.routersShifted = rollout.state == rollout_state::shift ? 1 : 0;
+    counts.routersShifted = rollout.state == rollout_state::shift && shiftShare(rollout, now) >= 1 ? 1 : 0;
     counts.baseInFlight = rollout.baseInFlight;
     counts.longestBaseAnswer = longestBaseAnswer(rollout);
     counts.routes = rollout.counts;
@@ -509,7 +545,9 @@
 
 duration rollout_control::shiftAge(const service_rollout &rollout, const rollout_counts &sums) const
 {
-    const duration latest = rollout.order.ramp - sums.longestBaseAnswer - limits::completionMargin;
+    const double doublings = -std::log2(std::max(limits::trialQuotaShare * m_bounds->trialShare, std::exp2(-maxDoublings)));
+    const duration latest
+        = rollout.order.ramp - sums.longestBaseAnswer - limits::completionMargin - scaled(limits::shiftDoublingTime, doublings);
     return std::max(latest, scaled(rollout.order.ramp, limits::minTrialTime));
 }
 
@@ -527,24 +565,24 @@
     if (rollout.order.status == rollout_status::none) {
         return rollout_status::trial;
     }
+    unsigned slots = 0;
+    for (const auto &[instance, known] : m_upstreams) {
+        const versioned_upstream &upstream = known.upstream;
+        const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
+                            && !m_closedDomains.contains(upstream.domain);
+        slots += counts ? upstream.slots : 0;
+    }
     if (rollout.state == rollout_state::trial) {
         std::uint32_t bad = 0;
         for (const route_counts &each : sums.routes) {
             bad += each.target.bad;
         }
-        unsigned slots = 0;
-        for (const auto &[instance, known] : m_upstreams) {
-            const versioned_upstream &upstream = known.upstream;
-            const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
-                                && !m_closedDomains.contains(upstream.domain);
-            slots += counts ? upstream.slots : 0;
-        }
-        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious);
+        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious && !rollout.verdict.isStarved);
         const bool isDue = ageOf(rollout, now) >= shiftAge(rollout, sums);
         const bool hasRoom = slots > 0 && slots >= rollout.inFlight;
         return isFound && isDue && hasRoom ? rollout_status::shift : rollout_status::none;
     }
-    const bool isIdle = rollout.state == rollout_state::shift && sums.routersShifted >= routers() && sums.baseInFlight == 0;
+    const bool isIdle = rollout.state == rollout_state::shift && slots > 0 && sums.routersShifted >= routers() && sums.baseInFlight == 0;
     if (!isIdle) {
         rollout.idleSince.reset();
         return rollout_status::none;
@@ -624,13 +662,13 @@
     }
 }
 
-void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, time_point now)
+void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, const std::string &covers, time_point now)
 {
     for (auto &[service, rollout] : m_rollouts) {
         const std::uint32_t key = shortHash(service);
-        const auto found = std::find_if(update.rollouts.begin(), update.rollouts.end(), [&](const rollout_counts &each) {
-            return each.service == key && each.order == orderKey(rollout.order);
-        });
+        const std::uint32_t order = orderKey(rollout.order);
+        const auto found = std::find_if(update.rollouts.begin(), update.rollouts.end(),
+                                        [key, order](const rollout_counts &each) { return each.service == key && each.order == order; });
         if (found == update.rollouts.end()) {
             continue;
         }
@@ -638,11 +676,12 @@
         if (rollout.fault == rollout_fault::none && isOpen(rollout.state)) {
             rollout.fault = found->fault;
         }
-        const auto known = rollout.fromPeers.find(update.source);
-        const bool hasCounted = known != rollout.fromPeers.end() && !known->second.isSubstitute
-                                && now - known->second.receivedAt < limits::loadUpdateLifetime;
-        if (isCounted || (isSubstitute && !hasCounted)) {
-            rollout.fromPeers[update.source] = {update.scope, *found, now, !isCounted};
+        const auto known = rollout.fromPeers.find(covers);
+        // A substitute neither replaces a counted update nor alternates with another substitute.
+        const bool isCovered = known != rollout.fromPeers.end() && now - known->second.receivedAt < limits::loadUpdateLifetime
+                               && !(known->second.isSubstitute && known->second.source == update.source);
+        if (isCounted || (isSubstitute && !isCovered)) {
+            rollout.fromPeers[covers] = {update.scope, *found, now, update.source, !isCounted};
         }
     }
 }
