Learned speed: memory of engines counted over all routers

Cause: a router extrapolated the occupied memory from its own requests by its share of the load. It counted none where it had no requests, and took long prompts of others for ones like its own.

Change: the memory that other routers state is added; only requests beyond the stated ones are extrapolated. Without statements, or with learned_speed switched off, the estimate is the one before.

--- a/include/nutmegtally/upstream_set.h
+++ b/include/nutmegtally/upstream_set.h
@@ -374,6 +374,9 @@
     double unreportedStarts(std::string_view service, std::size_t upstreams, time_point now) const;
     upstream_entry *mutableState(upstream_number number);
     void refreshSpeeds(std::string_view service, time_point now);
+    /// Memory of an engine that the requests of all routers occupy, in tokens.
+    /// @param load Estimated requests there.
+    double occupiedTokens(const upstream_entry &upstream, double load, time_point now) const;
     /// According to other routers.
     static slowness_figure peerSlowness(const upstream_entry &upstream, time_point now);
     learned_speed speedOf(const upstream_entry &upstream) const;
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -356,9 +356,7 @@
     engine.load = option.load;
     const auto preferred = std::find(prompt.preferred.begin(), prompt.preferred.end(), &upstream);
     engine.preference = static_cast<unsigned>(preferred - prompt.preferred.begin());
-    if (rule.cacheTokens > 0 && upstream.inFlight > 0) {
-        // Estimates the memory of all routers' requests from this router's own and its share of the load.
-        const double occupied = static_cast<double>(upstream.kvTokens) * std::max(1.0, option.load / upstream.inFlight);
+    if (const double occupied = occupiedTokens(upstream, option.load, now); rule.cacheTokens > 0 && occupied > 0) {
         engine.memoryUse = (occupied + static_cast<double>(engine.promptTokens)) / static_cast<double>(rule.cacheTokens);
     }
     details.cachedTokens = engine.cachedTokens;
--- a/src/upstream_set_updates.cpp
+++ b/src/upstream_set_updates.cpp
@@ -156,6 +156,21 @@
     }));
 }
 
+double upstream_set::occupiedTokens(const upstream_entry &upstream, double load, time_point now) const
+{
+    auto occupied = static_cast<double>(upstream.kvTokens);
+    double requests = upstream.inFlight;
+    for (const peer_usage &usage : upstream.fromPeers) {
+        const bool isStated = usage.occupiedTokens > 0 && now - usage.receivedAt < limits::loadUpdateLifetime;
+        if (isStated && m_mechanisms.has(mechanism::learnedSpeed)) {
+            occupied += usage.occupiedTokens;
+            requests += usage.inFlight;
+        }
+    }
+    // The rest of the load is requests that no router has stated yet, and those of routers of an earlier version.
+    return requests > 0 ? occupied * std::max(1.0, load / requests) : 0;
+}
+
 void upstream_set::recordSpeed(upstream_number number, const speed_sample &sample, time_point now)
 {
     const upstream_entry *state = find(number);
--- a/tests/test_upstream_speed.cpp
+++ b/tests/test_upstream_speed.cpp
@@ -567,4 +567,25 @@
     BOOST_TEST(fixture.core.upstreams().unusualSpeeds().empty());
 }
 
+// Load: another router has filled the memory of an engine with few long prompts, at which this router has none or a short one. Guards
+// against a count that leaves out the others, or takes their requests for ones like its own.
+BOOST_AUTO_TEST_CASE(memoryFilledByOthers_engineIsAvoided)
+{
+    for (const bool counts : {false, true}) {
+        placement_fake fleet(2, counts ? mechanism_set() : without(mechanism::learnedSpeed), true);
+        upstream_set &other = fleet.routers[1];
+        for (unsigned i = 0; i < 8; ++i) {
+            const upstream_number number = other.find("upstream-" + std::to_string(i))->number;
+            for (unsigned request = 0; request < 4; ++request) {
+                other.start(number, {}, 0, i == 0 ? 1000 : 120'000, fleet.now);
+            }
+        }
+        fleet.exchangeLoads();
+        for (unsigned i = 0; i < 4; ++i) { // more would reach the bound on the load of one engine
+            fleet.send(0, [](unsigned, unsigned) { return 80.0; });
+        }
+        BOOST_TEST((fleet.sent[0] == 4U) == counts, fleet.sent[0]);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
