--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -112,9 +112,9 @@
         .with("objects", settings.objectsAddress)
         .with("version", NUTMEGTALLY_VERSION);
     carryOut(log_record {log_event::daemonStarted, line.take()});
-    if (!settings.mechanisms.isComplete()) {
+    if (!settings.disabledForMeasurement.empty()) {
         log_line disabled;
-        disabled.with("disabled", disabledNames(settings.mechanisms));
+        disabled.with("disabled", settings.disabledForMeasurement);
         carryOut(log_record {log_event::mechanismsDisabled, disabled.take()});
     }
     const auto clock = [this] { return now(); };
--- a/programs/entry/entry_main.cpp
+++ b/programs/entry/entry_main.cpp
@@ -25,8 +25,8 @@
     }
     if (checkOnly) {
         std::cout << path << ": valid\n";
-        if (!settings.mechanisms.isComplete()) {
-            std::cout << "warning: switched off, for measurement only: " << disabledNames(settings.mechanisms) << '\n';
+        if (!settings.disabledForMeasurement.empty()) {
+            std::cout << "warning: switched off, for measurement only: " << settings.disabledForMeasurement << '\n';
         }
         return static_cast<int>(exit_code::success);
     }
--- a/programs/entry/entry_settings.cpp
+++ b/programs/entry/entry_settings.cpp
@@ -59,6 +59,10 @@
     for (const std::string &name : document.value("disabledMechanisms", std::vector<std::string>())) {
         settings.mechanisms.disable(mechanismFromName(name).value()); // the schema allows only known names
     }
+    settings.disabledForMeasurement = disabledNames(settings.mechanisms);
+    if (!document.value("admissionOrder", false)) {
+        settings.mechanisms.disable(mechanism::admissionOrder);
+    }
     settings.shutdownLimit = seconds(document.value("shutdownSeconds", 8.0));
     settings.maxDescriptors = document.value("maxDescriptors", settings.maxDescriptors);
     settings.logLevel = parseLogLevel(document.value("logLevel", std::string("info")));
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -27,7 +27,8 @@
     bool isFirstStart = false; // of the whole system; no router has any state to sync
     retry_bounds retries;
     std::optional<rollout_bounds> rollouts; // nothing: orders for rollouts are not read
-    mechanism_set mechanisms; // all but those that the settings disable
+    mechanism_set mechanisms; // all but those that the settings disable, or do not switch on
+    std::string disabledForMeasurement {}; // names of the mechanisms that the settings disable, separated by commas
     duration shutdownLimit = std::chrono::seconds(8);
     std::size_t maxDescriptors = 1024; // file descriptors that this process may open
     log_level logLevel = log_level::info;
--- a/tests/e2e_rollout.py
+++ b/tests/e2e_rollout.py
@@ -11,6 +11,7 @@
 import threading
 import time
 
+import entry_fleet
 from entry_fleet import Fleet, request_headers, send_request
 
 BINARY = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "build-dev/programs").resolve() / "entry" / "nutmegtally-entry"
@@ -246,7 +247,9 @@
     assert not case.fleet.store.statuses
 
 
-def run_case(name: str) -> str:
+def run_case(name: str, number: int, count: int) -> str:
+    ports = entry_fleet.PORTS  # the processes of the cases do not know which ports the others have chosen
+    entry_fleet.PORTS = ports[len(ports) * number // count:len(ports) * (number + 1) // count]
     begin = time.monotonic()
     try:
         globals()[name]()
@@ -260,7 +263,7 @@
     names = sorted(n for n in globals() if n.startswith("test_") and (len(sys.argv) < 3 or sys.argv[2] in n))
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(max_workers=4) as pool:
-        for name, future in [(name, pool.submit(run_case, name)) for name in names]:
+        for name, future in [(name, pool.submit(run_case, name, i, len(names))) for i, name in enumerate(names)]:
             try:
                 print(future.result(), flush=True)
             except Exception as fault:  # reported, and fails the run
