--- a/tests/e2e_rollout.py
+++ b/tests/e2e_rollout.py
@@ -20,6 +20,7 @@
 CALLERS, PAUSE_S = 12, 0.08
 ROUTES = ("read", "booking")
 
+ALL_PORTS = entry_fleet.PORTS
 cases = []  # of this process, to be closed at its end
 
 
@@ -248,8 +249,8 @@
 
 
 def run_case(name: str, number: int, count: int) -> str:
-    ports = entry_fleet.PORTS  # the processes of the cases do not know which ports the others have chosen
-    entry_fleet.PORTS = ports[len(ports) * number // count:len(ports) * (number + 1) // count]
+    # The processes of the cases do not know which ports the others have chosen.
+    entry_fleet.PORTS = ALL_PORTS[len(ALL_PORTS) * number // count:len(ALL_PORTS) * (number + 1) // count]
     begin = time.monotonic()
     try:
         globals()[name]()
