--- a/programs/entry/entry_settings.cpp
+++ b/programs/entry/entry_settings.cpp
@@ -63,6 +63,9 @@
     if (!document.value("admissionOrder", false)) {
         settings.mechanisms.disable(mechanism::admissionOrder);
     }
+    if (!document.value("learnedSpeed", false)) {
+        settings.mechanisms.disable(mechanism::learnedSpeed);
+    }
     settings.shutdownLimit = seconds(document.value("shutdownSeconds", 8.0));
     settings.maxDescriptors = document.value("maxDescriptors", settings.maxDescriptors);
     settings.logLevel = parseLogLevel(document.value("logLevel", std::string("info")));
