--- a/src/admission_order.cpp
+++ b/src/admission_order.cpp
@@ -1,4 +1,6 @@
+#include "decay.h"
 #include "limits.h"
+#include "update_key.h"
 
 #include <nutmegtally/admission_order.h>
 #include <nutmegtally/ids.h>
@@ -16,14 +18,9 @@
 namespace
 {
 
-std::uint32_t shortHash(std::string_view text)
-{
-    return static_cast<std::uint32_t>(hashText(text) >> 32);
-}
-
 std::uint32_t accountKey(const std::string &service, const std::string &account)
 {
-    return static_cast<std::uint32_t>(mixHash(hashText(service), hashText(account)) >> 32);
+    return updateKey(mixHash(hashText(service), hashText(account)));
 }
 
 std::uint8_t priorityByte(int priority)
@@ -41,12 +38,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(span));
 }
 
-/// What is left of a weight after some half-lives.
-double remaining(duration age, duration halfLife)
-{
-    return std::exp2(-seconds(age) / seconds(halfLife));
-}
-
 bool waitsForRoom(wait_reason reason)
 {
     return reason == wait_reason::capacity || reason == wait_reason::elsewhere;
@@ -121,7 +112,7 @@
 
 double decaying_sum::at(duration halfLife, time_point now) const
 {
-    return m_value == 0 ? 0 : m_value * remaining(now - m_at, halfLife);
+    return m_value == 0 ? 0 : m_value * halved(now - m_at, halfLife);
 }
 
 admission_order::admission_order(scheme by)
@@ -194,7 +185,7 @@
             }
         }
     }
-    const bool isHeld = now < request.heldUntil && hasBacklogElsewhere(shortHash(request.service), classOf(request, now), now);
+    const bool isHeld = now < request.heldUntil && hasBacklogElsewhere(updateKey(request.service), classOf(request, now), now);
     return isHeld ? admission_turn::heldBack : admission_turn::now;
 }
 
@@ -279,7 +270,7 @@
         service.promised.erase(promise);
         return true;
     }
-    return_count wanted {shortHash(request.service), priorityByte(request.priority), account, 0};
+    return_count wanted {updateKey(request.service), priorityByte(request.priority), account, 0};
     std::size_t told = 0;
     for (auto &[source, peer] : m_peers) {
         const return_count *count = now - peer.receivedAt < limits::loadUpdateLifetime ? findSame(peer.counts.returns, wanted) : nullptr;
@@ -305,7 +296,7 @@
     m_peers[update.source] = {update.scope, update.admission, now};
     for (const backlog_count &each : update.admission.backlog) {
         for (auto &[name, service] : m_services) {
-            if (shortHash(name) == each.service && each.waiting > 0) {
+            if (updateKey(name) == each.service && each.waiting > 0) {
                 noteBacklog(name, now);
             }
         }
@@ -325,14 +316,14 @@
         if (entry.reason == wait_reason::capacity) {
             const auto [known, isNew] = classes.try_emplace({entry.request.service, entry.request.account, entry.request.priority});
             known->second = isNew ? classOf(entry.request, now) : known->second;
-            const backlog_count empty {shortHash(entry.request.service), known->second, 0, 0};
+            const backlog_count empty {updateKey(entry.request.service), known->second, 0, 0};
             backlog_count &count = sameOrNew(counts.backlog, empty);
             ++count.waiting;
             count.cost += entry.request.cost;
         }
     }
     for (const auto &[name, service] : m_services) {
-        const std::uint32_t hash = shortHash(name);
+        const std::uint32_t hash = updateKey(name);
         for (const auto &[account, state] : service.accounts) {
             counts.uses.push_back({accountKey(name, account), state.use.at(limits::accountUseHalfLife, now)});
         }
@@ -361,7 +352,7 @@
         }
     }
     for (const account_use &each : counts.uses) {
-        sameOrNew<account_use>(sum.uses, {each.account, 0}).cost += each.cost * remaining(age, limits::accountUseHalfLife);
+        sameOrNew<account_use>(sum.uses, {each.account, 0}).cost += each.cost * halved(age, limits::accountUseHalfLife);
     }
     for (const return_count &each : counts.returns) {
         sameOrNew<return_count>(sum.returns, {each.service, each.priority, each.account, 0}).count += each.count;
@@ -432,7 +423,7 @@
     for (const auto &[source, peer] : m_peers) {
         for (const backlog_count &count : peer.counts.backlog) {
             for (const auto &[name, service] : m_services) {
-                if (now - peer.receivedAt < limits::backlogLifetime && shortHash(name) == count.service) {
+                if (now - peer.receivedAt < limits::backlogLifetime && updateKey(name) == count.service) {
                     result[{name, count.place.priority}].elsewhere += count.waiting;
                 }
             }
@@ -531,7 +522,7 @@
         const duration age = now - peer.receivedAt;
         for (const account_use &each : peer.counts.uses) {
             if (each.account == key && age < limits::loadUpdateLifetime) {
-                use += each.cost * remaining(age, limits::accountUseHalfLife);
+                use += each.cost * halved(age, limits::accountUseHalfLife);
             }
         }
     }
@@ -645,7 +636,7 @@
     }
     // The accounts of requests that wait at other routers are not known; as many of them as here are taken to come first.
     const double shareAhead = requestsAlike > 0 ? aheadAlike / requestsAlike : 0.5;
-    const std::uint32_t hash = shortHash(request.service);
+    const std::uint32_t hash = updateKey(request.service);
     const admission_class ownClass = classOf(request, now);
     for (const auto &[source, peer] : m_peers) {
         for (const backlog_count &each : peer.counts.backlog) {
@@ -696,7 +687,7 @@
 {
     const double halfLife = seconds(limits::startRateHalfLife);
     const duration measured = std::max(now - service.measuredSince, limits::minBacklogTime);
-    const double weight = halfLife / std::numbers::ln2 * (1 - remaining(measured, limits::startRateHalfLife));
+    const double weight = halfLife / std::numbers::ln2 * (1 - halved(measured, limits::startRateHalfLife));
     return service.started.at(limits::startRateHalfLife, now) / weight;
 }
 
@@ -708,7 +699,7 @@
         return std::nullopt;
     }
     double rate = rateOf(found->second, now);
-    const std::uint32_t service = shortHash(name);
+    const std::uint32_t service = updateKey(name);
     for (const auto &[source, peer] : m_peers) {
         for (const start_rate &each : peer.counts.rates) {
             rate += each.service == service && now - peer.receivedAt < limits::loadUpdateLifetime ? each.perSecond : 0;
@@ -719,7 +710,7 @@
 
 bool admission_order::hasBacklog(const std::string &service, time_point now) const
 {
-    return hasBacklogElsewhere(shortHash(service), std::nullopt, now)
+    return hasBacklogElsewhere(updateKey(service), std::nullopt, now)
            || std::any_of(m_waiting.begin(), m_waiting.end(), [&service](const auto &each) {
                   return each.second.request.service == service && waitsForRoom(each.second.reason);
               });
--- a/src/decay.h
+++ b/src/decay.h
@@ -1,4 +1,4 @@
-// Exponential decay and spans of time as numbers.
+// Exponential decay, and arithmetic on spans of time.
 #pragma once
 
 #include <nutmegtally/time.h>
@@ -20,4 +20,9 @@
     return std::exp2(-milliseconds(age) / milliseconds(halfLife));
 }
 
+inline duration scaled(duration span, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
 } // namespace nutmegtally
--- a/src/entry_core.cpp
+++ b/src/entry_core.cpp
@@ -1,3 +1,4 @@
+#include "decay.h"
 #include "limits.h"
 
 #include <nutmegtally/entry_core.h>
@@ -37,11 +38,6 @@
     return route.shares.back().service;
 }
 
-duration scaled(duration span, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
-}
-
 } // namespace
 
 log_line entry_core::attemptLogLine(time_point now, const exchange &work) const
--- a/src/entry_core_caches.cpp
+++ b/src/entry_core_caches.cpp
@@ -1,4 +1,5 @@
 // The part of entry_core that finds out which engines have which prompts cached.
+#include "decay.h"
 #include "limits.h"
 
 #include <nutmegtally/entry_core.h>
@@ -53,7 +54,7 @@
 bool entry_core::awaitsCacheState(time_point now, const exchange &work) const
 {
     return work.route->carriesPrompt && work.sends == 0 && !m_cacheRecovery.isOver(now)
-           && now - work.arrivedAt < std::chrono::duration_cast<duration>(work.route->target * limits::cacheWaitTargetShare);
+           && now - work.arrivedAt < scaled(work.route->target, limits::cacheWaitTargetShare);
 }
 
 } // namespace nutmegtally
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -1,4 +1,6 @@
+#include "decay.h"
 #include "limits.h"
+#include "update_key.h"
 
 #include <nutmegtally/ids.h>
 #include <nutmegtally/log_line.h>
@@ -16,19 +18,9 @@
 
 constexpr double maxDoublings = 10; // of the share in a shift; one that begins at nothing ends after these
 
-std::uint32_t shortHash(std::string_view text)
-{
-    return static_cast<std::uint32_t>(hashText(text) >> 32);
-}
-
 std::uint32_t orderKey(const rollout_order &order)
 {
-    return static_cast<std::uint32_t>(order.id >> 32);
-}
-
-duration scaled(duration span, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
+    return updateKey(order.id);
 }
 
 log_line rolloutLine(const rollout_order &order)
@@ -62,6 +54,11 @@
     addRouteCounts(sum.routes, more.routes);
 }
 
+bool mayServe(const versioned_upstream &upstream, const std::string &service, const std::unordered_set<std::string> &closedDomains)
+{
+    return upstream.service == service && !upstream.isLeaving && !closedDomains.contains(upstream.domain);
+}
+
 bool isOpen(rollout_state state)
 {
     return state == rollout_state::trial || state == rollout_state::suspected || state == rollout_state::shift;
@@ -292,7 +289,7 @@
     std::size_t bases = 0;
     for (const auto &[instance, known] : m_upstreams) {
         const versioned_upstream &upstream = known.upstream;
-        if (upstream.service != rollout.order.service || upstream.isLeaving || m_closedDomains.contains(upstream.domain)) {
+        if (!mayServe(upstream, rollout.order.service, m_closedDomains)) {
             continue;
         }
         if (upstream.version == rollout.order.target) {
@@ -432,7 +429,7 @@
         return;
     }
     service_rollout &rollout = found->second;
-    const std::uint32_t key = shortHash(route);
+    const std::uint32_t key = updateKey(route);
     if (quality == answer_quality::broken) {
         broken_answers &broken = rollout.broken[upstream];
         if (broken.answers.empty() || now - broken.since > limits::brokenAnswerLifetime) {
@@ -453,8 +450,15 @@
     }
     // The usual time is that of the base version on this route, over all routers.
     version_counts usual;
-    for (const route_counts &each : sumOf(rollout, load_scope::fleet, now).routes) {
-        usual = each.route == key ? each.base : usual;
+    const auto addUsual = [&usual, key](const std::vector<route_counts> &routes) {
+        for (const route_counts &each : routes) {
+            usual.timed += each.route == key ? each.base.timed : 0;
+            usual.logSlowness += each.route == key ? each.base.logSlowness : 0;
+        }
+    };
+    addUsual(rollout.counts);
+    for (const auto &[covers, peer] : rollout.fromPeers) {
+        addUsual(peer.counts.routes);
     }
     const double logSlowness = std::log(*slowness);
     const bool hasUsual = usual.timed >= limits::minUsualTimeAnswers;
@@ -515,7 +519,7 @@
 rollout_counts rollout_control::own(const service_rollout &rollout, time_point now) const
 {
     rollout_counts counts;
-    counts.service = shortHash(rollout.order.service);
+    counts.service = updateKey(rollout.order.service);
     counts.order = orderKey(rollout.order);
     counts.age = ageOf(rollout, now);
     counts.fault = rollout.fault;
@@ -568,8 +572,7 @@
     unsigned slots = 0;
     for (const auto &[instance, known] : m_upstreams) {
         const versioned_upstream &upstream = known.upstream;
-        const bool counts = upstream.service == rollout.order.service && upstream.version == rollout.order.target && !upstream.isLeaving
-                            && !m_closedDomains.contains(upstream.domain);
+        const bool counts = upstream.version == rollout.order.target && mayServe(upstream, rollout.order.service, m_closedDomains);
         slots += counts ? upstream.slots : 0;
     }
     if (rollout.state == rollout_state::trial) {
@@ -665,7 +668,7 @@
 void rollout_control::applyUpdate(const load_update &update, bool isCounted, bool isSubstitute, const std::string &covers, time_point now)
 {
     for (auto &[service, rollout] : m_rollouts) {
-        const std::uint32_t key = shortHash(service);
+        const std::uint32_t key = updateKey(service);
         const std::uint32_t order = orderKey(rollout.order);
         const auto found = std::find_if(update.rollouts.begin(), update.rollouts.end(),
                                         [key, order](const rollout_counts &each) { return each.service == key && each.order == order; });
@@ -717,7 +720,7 @@
     for (rollout_counts &sum : sums) {
         for (const auto &[service, rollout] : m_rollouts) {
             const auto peer = rollout.fromPeers.find(router);
-            if (shortHash(service) != sum.service || peer == rollout.fromPeers.end()) {
+            if (updateKey(service) != sum.service || peer == rollout.fromPeers.end()) {
                 continue;
             }
             const rollout_counts &counts = peer->second.counts;
@@ -736,14 +739,13 @@
     std::vector<rollout_report> reports;
     for (const auto &[service, rollout] : m_rollouts) {
         rollout_report report {service, rollout.order.target, rollout.state, rollout.fault, ageOf(rollout, now), {}, {}};
-        route_counts all;
-        for (const route_counts &each : sumOf(rollout, load_scope::fleet, now).routes) {
-            std::vector<route_counts> sum {{0, all.base, all.target}};
-            addRouteCounts(sum, {{0, each.base, each.target}});
-            all = sum.front();
+        std::vector<route_counts> total {route_counts()};
+        for (route_counts each : sumOf(rollout, load_scope::fleet, now).routes) {
+            each.route = total.front().route;
+            addRouteCounts(total, {each});
         }
-        report.base = all.base;
-        report.targetCounts = all.target;
+        report.base = total.front().base;
+        report.targetCounts = total.front().target;
         reports.push_back(std::move(report));
     }
     return reports;
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -1,6 +1,7 @@
 #include "decay.h"
 #include "limits.h"
 #include "placement_score.h"
+#include "update_key.h"
 
 #include <nutmegtally/ids.h>
 #include <nutmegtally/router_rank.h>
@@ -18,12 +19,6 @@
 namespace
 {
 
-/// The part of a hash that load updates carry.
-std::uint32_t keyOf(std::uint64_t hash)
-{
-    return static_cast<std::uint32_t>(hash >> 32);
-}
-
 void append(std::vector<prompt_location> &list, prompt_location prompt)
 {
     if (list.size() < limits::maxOutgoingPrompts) {
@@ -94,7 +89,7 @@
         m_instanceOf.erase(known->second.number);
     }
     m_instanceOf[state.number] = record.instance;
-    m_numberOf[keyOf(state.hash)] = state.number;
+    m_numberOf[updateKey(state.hash)] = state.number;
     m_servicesChanged = true;
     m_upstreams[record.instance] = std::move(state);
     return true;
@@ -114,7 +109,7 @@
         return;
     }
     m_instanceOf.erase(known->second.number);
-    m_numberOf.erase(keyOf(known->second.hash));
+    m_numberOf.erase(updateKey(known->second.hash));
     m_cacheKnown.erase(known->second.number);
     m_servicesChanged = true;
     m_upstreams.erase(known);
@@ -205,7 +200,7 @@
 
 const upstream_number *upstream_set::numberOf(std::uint64_t hash) const
 {
-    const auto number = m_numberOf.find(keyOf(hash));
+    const auto number = m_numberOf.find(updateKey(hash));
     return number == m_numberOf.end() ? nullptr : &number->second;
 }
 
--- a/src/upstream_set_updates.cpp
+++ b/src/upstream_set_updates.cpp
@@ -13,11 +13,6 @@
 namespace
 {
 
-duration scaled(duration span, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(span.count()) * factor));
-}
-
 bool isWorthSending(const upstream_usage &usage)
 {
     return usage.inFlight > 0 || usage.slowness.weight >= limits::minSentSpeedWeight;
