Admission order: without shares, nothing is counted or sent for them

Cause: with the order switched off, as by default, each start still updated the use of its account and the rates of its service, and each heartbeat carried the uses, backlog and rates, up to 848 bytes that no router used. The lines admission_share were written, too.

Change: these are kept only while the order is by shares. The backlog of a router itself stays in its metrics and log.

--- a/src/admission_order.cpp
+++ b/src/admission_order.cpp
@@ -206,6 +206,9 @@
 
 void admission_order::recordStart(const admission_request &request, double cost, duration waited, time_point now)
 {
+    if (!isByShare()) {
+        return;
+    }
     service_state &service = serviceFor(request.service, now);
     service.started.add(request.cost, limits::startRateHalfLife, now);
     service.startedRequests.add(1, limits::startRateHalfLife, now);
@@ -290,7 +293,7 @@
 
 void admission_order::applyUpdate(const load_update &update, bool isCounted, time_point now)
 {
-    if (!isCounted) {
+    if (!isCounted || !isByShare()) {
         return;
     }
     m_peers[update.source] = {update.scope, update.admission, now};
@@ -311,6 +314,9 @@
 admission_counts admission_order::ownCounts(time_point now) const
 {
     admission_counts counts;
+    if (!isByShare()) {
+        return counts; // the other routers would do nothing with them
+    }
     std::map<std::tuple<std::string_view, std::string_view, int>, admission_class> classes; // by service, account and priority
     for (const auto &[id, entry] : m_waiting) {
         if (entry.reason == wait_reason::capacity) {
@@ -498,6 +504,9 @@
 
 void admission_order::noteBacklog(const std::string &name, time_point now)
 {
+    if (!isByShare()) {
+        return;
+    }
     service_state &service = serviceFor(name, now);
     if (!service.backlogSince || now - service.lastBacklogAt > limits::maxBacklogBreak) {
         // What was started before was the demand, which says nothing about the capacity.
