--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -474,6 +474,33 @@
     BOOST_CHECK_THROW(platform::decodePage("{\"items\":[\xff],\"as_of\":1", 3), std::exception);
 }
 
+// Guards against a final status that is lost because another entry of the same answer is unreadable: a router that has just started would
+// begin the rollout again and write over the status.
+BOOST_AUTO_TEST_CASE(decodePageAndChanges_oneUnreadableEntry_theStatusOfTheOthersIsKept)
+{
+    const std::string bad = R"({"metadata":{"name":"bad","revision":5},"spec":{"count":1e400},"status":null})";
+    const auto ordered = [](const std::string &status) {
+        return R"({"metadata":{"name":"desk","revision":9,"created_rev":7},"spec":{"service":"desk","target":"v2","ramp_s":12},"status":)"
+               + status + '}';
+    };
+    const std::string completed = ordered(R"({ "state" : "completed", "target" : "v2" })");
+    const stored_object whole = platform::decodePage(R"({"items":[)" + completed + R"(],"as_of":9})", 3).objects.at(0);
+    const stored_object fromPage = platform::decodePage(R"({"items":[)" + bad + "," + completed + R"(],"as_of":9})", 3).objects.at(1);
+    const stored_object fromChanges
+        = platform::decodeChanges(R"({"as_of":9,"events":[{"object":)" + bad + R"(},{"object":)" + completed + "}]}", 3).objects.at(1);
+    BOOST_TEST((fromPage == whole));
+    BOOST_TEST((fromChanges == whole));
+    std::string reason;
+    const auto order = platform::decodeRollout(fromPage, reason);
+    BOOST_REQUIRE(order.has_value());
+    BOOST_TEST(nameOf(order->status) == "completed");
+
+    const stored_object damaged
+        = platform::decodePage(R"({"items":[)" + ordered(R"({"state":1e400})") + R"(],"as_of":9})", 3).objects.at(0);
+    BOOST_TEST(damaged.text == whole.text);
+    BOOST_TEST(!platform::decodeRollout(damaged, reason).has_value());
+}
+
 // Guards against revisions of a restored store that are taken for those of the time before.
 BOOST_AUTO_TEST_CASE(decodePage_eraAndVersionOfTheContent_areRead)
 {
