Rollouts: one total of the counts, one lookup of a route, plainer names; nothing sent for speeds that are not known

The sum over all routes stood in five places and the lookup of a route in two. Each tick built full reports, with the sums over all routers, to learn which services have an order; tick() builds the sums itself. 'wish', 'starved' and the log field 'told' needed a second reading: nextStatus, lacksAnswers, by_other_router. mechanism_set::isComplete() had no caller left. With learned speed off, as by default, each heartbeat carried six bytes of zeros for each upstream; the element is empty now, which routers of this version read as unknown.

--- a/include/nutmegtally/entry_core.h
+++ b/include/nutmegtally/entry_core.h
@@ -245,7 +245,7 @@
     rollout_order order;
 };
 
-/// The object of an order was deleted, or cannot be read any more.
+/// The object of an order was deleted.
 struct rollout_withdrawn {
     std::string service;
 };
--- a/include/nutmegtally/mechanism.h
+++ b/include/nutmegtally/mechanism.h
@@ -74,11 +74,6 @@
         m_disabled.set(static_cast<std::size_t>(each));
     }
 
-    bool isComplete() const
-    {
-        return m_disabled.none();
-    }
-
 private:
     std::bitset<static_cast<std::size_t>(mechanism::count)> m_disabled;
 };
--- a/include/nutmegtally/rollout_control.h
+++ b/include/nutmegtally/rollout_control.h
@@ -148,8 +148,11 @@
     /// True if the times of answers of an upstream count: it is not in its first seconds.
     bool countsTimes(const std::string &instance, time_point now) const;
 
+    /// Target version of each service that has an order.
+    std::map<std::string, std::string> targets() const;
+
     /// Judges the versions and writes what is due.
-    /// @param loads Of each service that has an order.
+    /// @param loads Of each service in targets().
     void tick(time_point now, const std::map<std::string, version_load> &loads, std::vector<effect> &effects);
 
     /// Takes the counts of another router or the sums of a leader.
@@ -223,8 +226,8 @@
         rollout_verdict verdict;
         rollout_judge judge;
         std::map<std::string, peer_counts> fromPeers; // by whose requests they count
-        std::optional<time_point> wishesSince; // for the status that is to be written next
-        rollout_status wish = rollout_status::none;
+        rollout_status nextStatus = rollout_status::none; // that is to be written; none if there is nothing to write
+        std::optional<time_point> dueSince; // since when it is
         time_point nextWriteAt;
         std::optional<time_point> idleSince; // all routers have shifted and no request is at a base upstream
         bool isUnservedLogged = false; // no upstream has the target version
@@ -246,7 +249,7 @@
     rollout_counts sumOf(const service_rollout &rollout, load_scope scope, time_point now) const;
     static duration ageOf(const service_rollout &rollout, time_point now);
     static duration longestBaseAnswer(const service_rollout &rollout);
-    rollout_status wishFor(service_rollout &rollout, const rollout_counts &sums, time_point now) const;
+    rollout_status nextStatus(service_rollout &rollout, const rollout_counts &sums, time_point now) const;
     duration shiftAge(const service_rollout &rollout, const rollout_counts &sums) const;
     void writeWhenDue(service_rollout &rollout, time_point now, std::vector<effect> &effects);
     void logVerdict(const service_rollout &rollout, std::vector<effect> &effects) const;
--- a/include/nutmegtally/rollout_judge.h
+++ b/include/nutmegtally/rollout_judge.h
@@ -16,7 +16,7 @@
     rollout_fault fault = rollout_fault::none;
     std::uint32_t route = 0; // hash of the route that shows the fault; 0 for all routes together
     bool isGood = false; // enough answers, and none of the comparisons is suspicious
-    bool isStarved = false; // too few answers for isGood, although the base version has enough for a trial to bring them
+    bool lacksAnswers = false; // too few for isGood, although the base version has enough for a trial to bring them
     bool isSuspicious = false; // worse than the base version, but not beyond doubt
     version_counts base; // that the fault was found in
     version_counts target;
@@ -40,6 +40,12 @@
     std::deque<sample> m_samples; // oldest first; the first one is the last that is at least limits::rolloutWindow old
 };
 
+/// The counts of a route, which are added if there are none.
+route_counts &countsOfRoute(std::vector<route_counts> &counts, std::uint32_t route);
+
+/// Sum over all routes.
+route_counts totalOf(const std::vector<route_counts> &counts);
+
 /// Adds the counts of @p more to those of the same routes in @p sums.
 void addRouteCounts(std::vector<route_counts> &sums, const std::vector<route_counts> &more);
 
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -293,9 +293,14 @@
     return counts;
 }
 
-/// The speed and the occupied memory of each upstream, in the order of the list of their usage.
+/// The speed and the occupied memory of each upstream, in the order of the list of their usage; empty if none is known.
 std::string figuresToBytes(const std::vector<upstream_usage> &usage)
 {
+    const bool isAnyKnown = std::any_of(usage.begin(), usage.end(),
+                                        [](const upstream_usage &each) { return each.slowness.weight > 0 || each.occupiedTokens > 0; });
+    if (!isAnyKnown) {
+        return {};
+    }
     const auto unitsOf = [](double value, double units) { return static_cast<std::uint64_t>(std::lround(std::max(0.0, value) * units)); };
     std::string bytes;
     for (const upstream_usage &each : usage) {
@@ -308,6 +313,9 @@
 
 void figuresFromBytes(std::string_view bytes, std::vector<upstream_usage> &usage)
 {
+    if (bytes.empty()) {
+        return;
+    }
     for (upstream_usage &each : usage) {
         each.slowness.log2Factor = readNumber<std::uint8_t>(bytes) / log2FactorUnits + lowestLog2Factor;
         each.slowness.weight = std::exp2(readNumber<std::uint8_t>(bytes) / log2WeightUnits) - 1.0;
--- a/src/entry_core_rollouts.cpp
+++ b/src/entry_core_rollouts.cpp
@@ -110,8 +110,8 @@
 void entry_core::updateRollouts(time_point now, std::vector<effect> &effects)
 {
     std::map<std::string, version_load> loads;
-    for (const rollout_report &rollout : m_rollouts.reports(now)) {
-        loads[rollout.service] = m_upstreams.loadOfVersions(rollout.service, rollout.target, now);
+    for (const auto &[service, target] : m_rollouts.targets()) {
+        loads[service] = m_upstreams.loadOfVersions(service, target, now);
     }
     std::vector<rollout_control::effect> decisions;
     m_rollouts.tick(now, loads, decisions);
--- a/src/rollout_control.cpp
+++ b/src/rollout_control.cpp
@@ -35,16 +35,6 @@
     return version == version_class::target ? route.target : route.base;
 }
 
-route_counts &routeIn(std::vector<route_counts> &routes, std::uint32_t route)
-{
-    const auto found = std::find_if(routes.begin(), routes.end(), [route](const route_counts &each) { return each.route == route; });
-    if (found != routes.end()) {
-        return *found;
-    }
-    routes.push_back({route, {}, {}});
-    return routes.back();
-}
-
 /// Adds another router's or domain's counts of the same order.
 void add(rollout_counts &sum, const rollout_counts &more)
 {
@@ -237,7 +227,7 @@
         m_rollouts.erase(found); // the versions that are left may all serve
         return;
     }
-    found->second.wishesSince.reset();
+    found->second.dueSince.reset();
     if (found->second.state != rollout_state::rolledBack) {
         setState(found->second, rollout_state::withdrawn, effects);
     }
@@ -256,7 +246,7 @@
     }
     service_rollout &rollout = found->second;
     log_line line = rolloutLine(rollout.order);
-    line.with("status", nameOf(rollout.wish)).with("result", nameOf(result));
+    line.with("status", nameOf(rollout.nextStatus)).with("result", nameOf(result));
     effects.push_back(log_record {log_event::rolloutStatusWritten, line.take()});
     // The new state comes with the object, from a watch or another router.
     rollout.nextWriteAt = now + limits::rolloutRewriteDelay;
@@ -309,8 +299,11 @@
 version_filters rollout_control::filtersFor(const std::string &service, time_point now) const
 {
     version_filters filters;
+    if (!m_bounds) {
+        return filters;
+    }
     const std::map<std::string, known_version> &versions = versionsOf(service);
-    if (!m_bounds || versions.empty()) {
+    if (versions.empty()) {
         return filters;
     }
     const auto found = m_rollouts.find(service);
@@ -439,7 +432,7 @@
         return;
     }
     addBroken(rollout, which, upstream, now);
-    version_counts &counts = countsOf(routeIn(rollout.counts, key), which);
+    version_counts &counts = countsOf(countsOfRoute(rollout.counts, key), which);
     counts.answers += wasGood ? 0 : 1;
     if (quality != answer_quality::good) {
         ++counts.bad;
@@ -478,7 +471,7 @@
     }
     if (now - found->second.since <= limits::brokenAnswerLifetime) {
         for (const broken_answers::answer &each : found->second.answers) {
-            version_counts &counts = countsOf(routeIn(rollout.counts, each.route), which);
+            version_counts &counts = countsOf(countsOfRoute(rollout.counts, each.route), which);
             counts.answers += each.wasGood ? 0 : 1;
             ++counts.bad;
         }
@@ -555,7 +548,7 @@
     return std::max(latest, scaled(rollout.order.ramp, limits::minTrialTime));
 }
 
-rollout_status rollout_control::wishFor(service_rollout &rollout, const rollout_counts &sums, time_point now) const
+rollout_status rollout_control::nextStatus(service_rollout &rollout, const rollout_counts &sums, time_point now) const
 {
     if (rollout.state == rollout_state::withdrawn) {
         return rollout_status::none;
@@ -576,11 +569,8 @@
         slots += counts ? upstream.slots : 0;
     }
     if (rollout.state == rollout_state::trial) {
-        std::uint32_t bad = 0;
-        for (const route_counts &each : sums.routes) {
-            bad += each.target.bad;
-        }
-        const bool isFound = rollout.verdict.isGood || (bad == 0 && !rollout.verdict.isSuspicious && !rollout.verdict.isStarved);
+        const bool isFaultless = totalOf(sums.routes).target.bad == 0;
+        const bool isFound = rollout.verdict.isGood || (isFaultless && !rollout.verdict.isSuspicious && !rollout.verdict.lacksAnswers);
         const bool isDue = ageOf(rollout, now) >= shiftAge(rollout, sums);
         const bool hasRoom = slots > 0 && slots >= rollout.inFlight;
         return isFound && isDue && hasRoom ? rollout_status::shift : rollout_status::none;
@@ -596,18 +586,18 @@
 
 void rollout_control::writeWhenDue(service_rollout &rollout, time_point now, std::vector<effect> &effects)
 {
-    if (rollout.wish == rollout_status::none) {
-        rollout.wishesSince.reset();
+    if (rollout.nextStatus == rollout_status::none) {
+        rollout.dueSince.reset();
         return;
     }
-    rollout.wishesSince = rollout.wishesSince.value_or(now);
+    rollout.dueSince = rollout.dueSince.value_or(now);
     const std::size_t turn = std::min(rankAmong(m_selfHash, m_routerHashes, mixHash(rollout.order.id, 1)), limits::maxRolloutTurns);
     const duration delay = limits::rolloutTurnDelay * static_cast<duration::rep>(turn);
-    if (now < *rollout.wishesSince + delay || now < rollout.nextWriteAt) {
+    if (now < *rollout.dueSince + delay || now < rollout.nextWriteAt) {
         return;
     }
     rollout.nextWriteAt = now + limits::rolloutRewriteDelay;
-    effects.push_back(rollout_effect::write_status {rollout.order, rollout.wish});
+    effects.push_back(rollout_effect::write_status {rollout.order, rollout.nextStatus});
 }
 
 void rollout_control::logVerdict(const service_rollout &rollout, std::vector<effect> &effects) const
@@ -615,7 +605,7 @@
     const rollout_verdict &verdict = rollout.verdict;
     log_line line = rolloutLine(rollout.order);
     line.with("fault", nameOf(rollout.fault))
-        .with("told", verdict.fault == rollout_fault::none)
+        .with("by_other_router", verdict.fault == rollout_fault::none)
         .with("route", toHex(verdict.route))
         .with("target_answers", verdict.target.answers)
         .with("target_bad", verdict.target.bad)
@@ -655,12 +645,12 @@
                 effects.push_back(log_record {log_event::rolloutUnserved, line.take()});
             }
         }
-        const rollout_status wish = wishFor(rollout, sums, now);
-        const bool isWritten = wish == rollout.order.status;
-        if (wish != rollout.wish) {
-            rollout.wishesSince.reset();
+        const rollout_status next = nextStatus(rollout, sums, now);
+        const bool isWritten = next == rollout.order.status;
+        if (next != rollout.nextStatus) {
+            rollout.dueSince.reset();
         }
-        rollout.wish = isWritten ? rollout_status::none : wish;
+        rollout.nextStatus = isWritten ? rollout_status::none : next;
         writeWhenDue(rollout, now, effects);
     }
 }
@@ -734,18 +724,23 @@
     return sums;
 }
 
+std::map<std::string, std::string> rollout_control::targets() const
+{
+    std::map<std::string, std::string> targets;
+    for (const auto &[service, rollout] : m_rollouts) {
+        targets.emplace(service, rollout.order.target);
+    }
+    return targets;
+}
+
 std::vector<rollout_report> rollout_control::reports(time_point now) const
 {
     std::vector<rollout_report> reports;
     for (const auto &[service, rollout] : m_rollouts) {
         rollout_report report {service, rollout.order.target, rollout.state, rollout.fault, ageOf(rollout, now), {}, {}};
-        std::vector<route_counts> total {route_counts()};
-        for (route_counts each : sumOf(rollout, load_scope::fleet, now).routes) {
-            each.route = total.front().route;
-            addRouteCounts(total, {each});
-        }
-        report.base = total.front().base;
-        report.targetCounts = total.front().target;
+        const route_counts total = totalOf(sumOf(rollout, load_scope::fleet, now).routes);
+        report.base = total.base;
+        report.targetCounts = total.target;
         reports.push_back(std::move(report));
     }
     return reports;
--- a/src/rollout_judge.cpp
+++ b/src/rollout_judge.cpp
@@ -104,62 +104,58 @@
 /// @param whole Counts since the order, whose base stands in where the span has too few answers of it.
 void judgeSpan(rollout_verdict &verdict, const std::vector<route_counts> &span, const std::vector<route_counts> &whole)
 {
-    route_counts all;
-    route_counts allWhole;
     for (const route_counts &each : span) {
         const route_counts *since = find(whole, each.route);
         const bool hasBase = each.base.answers >= limits::minRolloutBaseAnswers || since == nullptr;
         judge(verdict, each.route, each.target, hasBase ? each.base : since->base);
-        add(all.base, each.base);
-        add(all.target, each.target);
     }
-    for (const route_counts &each : whole) {
-        add(allWhole.base, each.base);
-    }
-    judge(verdict, 0, all.target, all.base.answers >= limits::minRolloutBaseAnswers ? all.base : allWhole.base);
+    const route_counts all = totalOf(span);
+    judge(verdict, 0, all.target, all.base.answers >= limits::minRolloutBaseAnswers ? all.base : totalOf(whole).base);
 }
 
 bool hasEnoughAnswers(const std::vector<route_counts> &sums)
 {
-    std::uint32_t answers = 0;
-    for (const route_counts &each : sums) {
-        answers += each.target.answers;
-        if (each.base.answers >= limits::minRolloutBaseAnswers && each.target.answers < limits::minRolloutRouteAnswers) {
-            return false;
-        }
-    }
-    return answers >= limits::minRolloutAnswers;
+    const bool lacksRoute = std::any_of(sums.begin(), sums.end(), [](const route_counts &each) {
+        return each.base.answers >= limits::minRolloutBaseAnswers && each.target.answers < limits::minRolloutRouteAnswers;
+    });
+    return !lacksRoute && totalOf(sums).target.answers >= limits::minRolloutAnswers;
 }
 
 /// True if the target version lacks answers that a trial brings where the base version has as many as it has.
-bool isStarved(const std::vector<route_counts> &sums)
+bool lacksAnswers(const std::vector<route_counts> &sums)
 {
-    const auto lacks = [](std::uint32_t target, std::uint32_t base, std::uint32_t wanted) {
-        return target < wanted && limits::minTrialAnswerShare * base >= wanted;
+    const auto lacks = [](const route_counts &counts, std::uint32_t wanted) {
+        return counts.target.answers < wanted && limits::minTrialAnswerShare * counts.base.answers >= wanted;
     };
-    version_counts base;
-    version_counts target;
-    bool isRouteStarved = false;
-    for (const route_counts &each : sums) {
-        add(base, each.base);
-        add(target, each.target);
-        isRouteStarved = isRouteStarved || lacks(each.target.answers, each.base.answers, limits::minRolloutRouteAnswers);
-    }
-    return isRouteStarved || lacks(target.answers, base.answers, limits::minRolloutAnswers);
+    return lacks(totalOf(sums), limits::minRolloutAnswers) || std::any_of(sums.begin(), sums.end(), [&lacks](const route_counts &each) {
+               return lacks(each, limits::minRolloutRouteAnswers);
+           });
 }
 
 } // namespace
 
+route_counts &countsOfRoute(std::vector<route_counts> &counts, std::uint32_t route)
+{
+    const auto found = std::find_if(counts.begin(), counts.end(), [route](const route_counts &each) { return each.route == route; });
+    return found != counts.end() ? *found : counts.emplace_back(route_counts {route, {}, {}});
+}
+
+route_counts totalOf(const std::vector<route_counts> &counts)
+{
+    route_counts total;
+    for (const route_counts &each : counts) {
+        add(total.base, each.base);
+        add(total.target, each.target);
+    }
+    return total;
+}
+
 void addRouteCounts(std::vector<route_counts> &sums, const std::vector<route_counts> &more)
 {
     for (const route_counts &each : more) {
-        const auto found = std::find_if(sums.begin(), sums.end(), [&each](const route_counts &known) { return known.route == each.route; });
-        if (found == sums.end()) {
-            sums.push_back(each);
-            continue;
-        }
-        add(found->base, each.base);
-        add(found->target, each.target);
+        route_counts &sum = countsOfRoute(sums, each.route);
+        add(sum.base, each.base);
+        add(sum.target, each.target);
     }
 }
 
@@ -202,7 +198,7 @@
         judgeSpan(verdict, window, whole);
     }
     judgeSpan(verdict, whole, whole);
-    verdict.isStarved = isStarved(whole);
+    verdict.lacksAnswers = lacksAnswers(whole);
     verdict.isGood = verdict.fault == rollout_fault::none && !verdict.isSuspicious && hasEnoughAnswers(whole);
     return verdict;
 }
