--- a/tests/test_load_patterns.cpp
+++ b/tests/test_load_patterns.cpp
@@ -1,6 +1,7 @@
 // Placement under patterns of heavy load, on a small model of routers and engines without network, threads or a clock. Each
 // test names its load pattern; some compare the current rule with the one before it.
 #include "entry_fixture.h"
+#include "load_exchange.h"
 
 #include <nutmegtally/ids.h>
 #include <nutmegtally/upstream_set.h>
@@ -369,17 +370,7 @@
             return;
         }
         nextUpdate = now + updateInterval;
-        std::vector<load_update> updates;
-        for (const upstream_set &router : routers) {
-            updates.push_back(router.ownLoad(now));
-        }
-        for (std::size_t i = 0; i < routers.size(); ++i) {
-            for (std::size_t j = 0; j < updates.size(); ++j) {
-                if (i != j) {
-                    routers[i].applyUpdate(updates[j], true, now);
-                }
-            }
-        }
+        exchangeOwnLoads(routers, now);
     }
 
     void send(unsigned router)
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -30,6 +30,14 @@
     return {answer_quality::good, duration(static_cast<duration::rep>(static_cast<double>(duration(50ms).count()) * factor))};
 }
 
+/// From now on, six of ten answers of the version that orders name are failures.
+void failVersion2(rollout_fleet &fleet)
+{
+    fleet.answer = [&fleet](const versioned_upstream &upstream, const std::string &, unsigned) {
+        return upstream.version == "v2" ? failing(fleet, 0.6) : sound(fleet);
+    };
+}
+
 void checkRolledBack(const rollout_fleet &fleet)
 {
     BOOST_TEST((fleet.order->status == rollout_status::rolledBack));
@@ -234,9 +242,7 @@
 BOOST_AUTO_TEST_CASE(badVersion_storeIsDown_getsNothingMoreAndIsRolledBackLater)
 {
     rollout_fleet fleet(8);
-    fleet.answer = [&](const versioned_upstream &upstream, const std::string &, unsigned) {
-        return upstream.version == "v2" ? failing(fleet, 0.6) : sound(fleet);
-    };
+    failVersion2(fleet);
     fleet.run(2s);
     fleet.writeOrder();
     fleet.run(500ms);
@@ -297,9 +303,7 @@
 BOOST_AUTO_TEST_CASE(rolledBack_storeComesBackWithoutTheStatus_holdsAndIsWrittenAgain)
 {
     rollout_fleet fleet(4);
-    fleet.answer = [&](const versioned_upstream &upstream, const std::string &, unsigned) {
-        return upstream.version == "v2" ? failing(fleet, 0.6) : sound(fleet);
-    };
+    failVersion2(fleet);
     fleet.run(2s);
     fleet.writeOrder();
     fleet.run(8s);
@@ -317,9 +321,7 @@
 BOOST_AUTO_TEST_CASE(changedOrder_namesAnotherVersion_beginsAnew)
 {
     rollout_fleet fleet(4);
-    fleet.answer = [&](const versioned_upstream &upstream, const std::string &, unsigned) {
-        return upstream.version == "v2" ? failing(fleet, 0.6) : sound(fleet);
-    };
+    failVersion2(fleet);
     fleet.run(2s);
     fleet.writeOrder();
     fleet.run(8s);
--- a/tests/test_upstream_speed.cpp
+++ b/tests/test_upstream_speed.cpp
@@ -1,5 +1,6 @@
 // Learned speed of upstreams, on fakes without network, threads or a clock. Each test names the load that it answers.
 #include "entry_fixture.h"
+#include "load_exchange.h"
 
 #include <nutmegtally/upstream_set.h>
 
@@ -145,17 +146,7 @@
 
     void exchangeLoads()
     {
-        std::vector<load_update> updates;
-        for (const upstream_set &router : routers) {
-            updates.push_back(router.ownLoad(now));
-        }
-        for (std::size_t i = 0; i < routers.size(); ++i) {
-            for (std::size_t j = 0; j < updates.size(); ++j) {
-                if (i != j) {
-                    routers[i].applyUpdate(updates[j], true, now);
-                }
-            }
-        }
+        exchangeOwnLoads(routers, now);
     }
 
     double shareOf(unsigned upstream) const
