Review case 7: routers that are gone are never forgotten

Two leaders of a domain repeat each other's lists of routers seen lately, so that a lost router stays in the count for ever, and keeps its part of the shared duties. Among them are the short watches of the configuration.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Shows case 7. TROUBLE=0 leaves the disruptions out.
+cd "$(dirname "$0")" && exec python3 run.py
