--- a/review/lib-2/revoked_key.py
+++ b/review/lib-2/revoked_key.py
@@ -27,6 +27,7 @@
         self.lost = []
 
     def start(self):
+        self.fleet.start()
         self.fleet.wait_ready(10)
         self.record("all routers are ready")
         time.sleep(SETTLE_S)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -216,7 +216,11 @@
         seeds = [next(router for router in self.routers if router.zone == zone).address("control") for zone in zones]
         for router in self.routers:
             router.write_settings(template, self.folder, seeds, store.address)
-            router.start(role["run"].split(" "), self.folder)
+        self.command = role["run"].split(" ")
+
+    def start(self):
+        for router in self.routers:
+            router.start(self.command, self.folder)
 
     def wait_ready(self, seconds):
         end = time.monotonic() + seconds
