Liveness: a report on a router counts only with a higher heartbeat counter

Cause: leaders tell each other twice a second which routers they saw within 1.5 s, and a receiver took that for seeing these routers itself, at that moment. Two leaders that heard of a router from each other kept it in the count for good, with its part of shared limits and its duties, among them the short watches of the configuration.

The new test routersGone_othersRepeatReports_areForgotten, with the events of the old interface, failed for 9 of 12 fleets: all with two or more routers in a domain, none with one.

Ruled out: syncs alone, as the ages that they carry only grow; messages in flight: the routers stayed in the count as long as the others ran.

Change: each router has a heartbeat counter that only it raises, from the Unix time of its start on. Heartbeats, lists and syncs carry it; a report is a sign of life only with a higher counter than any known before, dated by its age. A dropped router's counter is kept for another 15 s, so that a later report of it does not bring it back. A process whose clock was set back goes on above the counter that others report of it. router_departed (NT1715) names the routers that are dropped. Heartbeats of earlier versions are still read, and theirs read the new ones; their lists, which show no age, are not used.

Why it works: the counter of a router that is gone does not grow, so nothing that others repeat moves the time at which it was last seen, however long messages are under way.

The test of an earlier version's heartbeat erases all newer elements now, and not two by number.

--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -70,7 +70,15 @@
 
 gossip_options gossipOptionsFrom(const entry_settings &settings)
 {
-    return {settings.name, settings.routersListen, settings.domain, settings.seeds, !settings.isFirstStart};
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto startedAtMs = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    return {settings.name,
+            settings.routersListen,
+            settings.domain,
+            settings.seeds,
+            !settings.isFirstStart,
+            static_cast<std::uint64_t>(std::max<std::int64_t>(1, startedAtMs)),
+            time_point(timeSinceBoot())};
 }
 
 local_answer plainAnswer(int status, std::string text)
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -82,6 +82,7 @@
     message.address = m_settings.routersListen;
     message.loadAddress = m_settings.loadListen;
     message.domain = m_settings.domain;
+    message.counter = m_gossip.counter(now());
     message.routers = m_gossip.knownPeers(now());
     message.digests = ownDigests();
     return message;
@@ -123,7 +124,7 @@
             isNewer = isNewer || (digest.kind == objectKindNames[i] && m_followers[i].isBehind(digest.asOf, digest.hash, digest.keepsLost));
         }
     }
-    apply(gossip_event::digest_compared {heartbeat.name, isNewer, heartbeat.isLeader && !m_election.isLeader()});
+    apply(gossip_event::digest_compared {heartbeat.name, isNewer, heartbeat.isLeader && !m_election.isLeader(), heartbeat.counter});
     if (!isNewer && heartbeat.isLeader && heartbeat.isApiReachable) {
         m_serving.post(entry_event::state_verified {});
     }
@@ -198,7 +199,8 @@
         throw std::runtime_error("sync answer contains no message");
     }
     const gossip_message message = decodeGossipMessage(decompressMessage(parts.front()));
-    apply(gossip_event::message_received {message.name, message.address, message.loadAddress, message.domain, message.routers});
+    apply(gossip_event::message_received {message.name, message.address, message.loadAddress, message.domain, message.routers,
+                                          message.counter});
     if (!message.prompts.empty() && now() - m_startedAt >= limits::joinTime) {
         m_wantsPrompts = false;
     }
@@ -266,7 +268,7 @@
         return http_server::plainFault({400, fault.what()});
     }
     apply(gossip_event::message_received {syncRequest.name, syncRequest.address, syncRequest.loadAddress, syncRequest.domain,
-                                          syncRequest.routers});
+                                          syncRequest.routers, syncRequest.counter});
     gossip_message answer = ownMessage();
     // A router that has just started itself knows only the prompts of its last seconds, so it sends none.
     if (syncRequest.wantsPrompts && m_serving.entryCore().hasCacheState(now())) {
@@ -342,7 +344,7 @@
     heartbeat.load.rollouts = rollouts.sumOfCounts(load_scope::domain, at);
     heartbeat.load.admission = admission.sumOfCounts(load_scope::domain, at);
     heartbeat.load.prompts = prompts.fromOwnDomain;
-    heartbeat.recentRouters = includesLiveness ? m_gossip.recentlySeen(m_settings.domain, at) : std::vector<std::uint32_t>();
+    heartbeat.recentRouters = includesLiveness ? m_gossip.recentlySeen(m_settings.domain, at) : std::vector<router_liveness>();
     for (const router_endpoint *leader : m_election.remoteLeaders(at)) {
         sendHeartbeat(*leader, heartbeat);
     }
@@ -352,7 +354,7 @@
     const admission_counts admissionSums = admission.sumOfCounts(load_scope::fleet, at);
     fleet.prompts = prompts.fromOwnDomain;
     fleet.prompts.insert(fleet.prompts.end(), prompts.fromOtherDomains.begin(), prompts.fromOtherDomains.end());
-    heartbeat.recentRouters = includesLiveness ? m_gossip.recentlySeen({}, at) : std::vector<std::uint32_t>();
+    heartbeat.recentRouters = includesLiveness ? m_gossip.recentlySeen({}, at) : std::vector<router_liveness>();
     for (const router_endpoint *peer : m_election.domainPeers()) {
         heartbeat.load = upstreams.excludingRouter(fleet, peer->name);
         heartbeat.load.rollouts = rollouts.excludingRouter(rolloutSums, peer->name, at);
@@ -365,6 +367,7 @@
 {
     router_heartbeat heartbeat;
     heartbeat.name = m_settings.name;
+    heartbeat.counter = m_gossip.counter(now());
     heartbeat.isLeader = m_election.isLeader();
     heartbeat.isApiReachable = isApiReachable();
     heartbeat.routersCovered = static_cast<std::uint32_t>(m_serving.entryCore().upstreams().activeSources(now()));
--- a/programs/entry/gossip_codec.cpp
+++ b/programs/entry/gossip_codec.cpp
@@ -85,6 +85,31 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
+/// Routers: name key, heartbeat counter, age in milliseconds.
+std::string livenessToBytes(const std::vector<router_liveness> &routers)
+{
+    std::string bytes;
+    for (const router_liveness &each : routers) {
+        appendNumber<std::uint32_t>(bytes, each.router);
+        appendNumber<std::uint64_t>(bytes, each.counter);
+        appendNumber<std::uint16_t>(bytes, static_cast<std::uint64_t>(millisecondsOf(each.age)));
+    }
+    return bytes;
+}
+
+std::vector<router_liveness> livenessFromBytes(std::string_view bytes)
+{
+    std::vector<router_liveness> routers;
+    while (!bytes.empty()) {
+        router_liveness each;
+        each.router = readNumber<std::uint32_t>(bytes);
+        each.counter = readNumber<std::uint64_t>(bytes);
+        each.age = std::chrono::milliseconds(readNumber<std::uint16_t>(bytes));
+        routers.push_back(each);
+    }
+    return routers;
+}
+
 json evidenceToJson(const std::vector<part_evidence> &evidence)
 {
     json list = json::array();
@@ -367,7 +392,7 @@
     json routers = json::array();
     for (const peer_info &peer : message.routers) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(peer.age).count();
-        routers.push_back({peer.name, peer.address, peer.loadAddress, peer.domain, age});
+        routers.push_back({peer.name, peer.address, peer.loadAddress, peer.domain, age, peer.counter});
     }
     json digests = json::object();
     for (const kind_digest &digest : message.digests) {
@@ -375,6 +400,7 @@
     }
     json document = {{"name", message.name},     {"address", message.address},    {"loadAddress", message.loadAddress},
                      {"domain", message.domain}, {"routers", std::move(routers)}, {"digests", std::move(digests)}};
+    document["counter"] = message.counter;
     if (message.wantsPrompts) {
         document["wantsPrompts"] = true;
     }
@@ -392,10 +418,11 @@
     message.address = document.at("address").get<std::string>();
     message.loadAddress = document.at("loadAddress").get<std::string>();
     message.domain = document.at("domain").get<std::string>();
+    message.counter = document.value("counter", std::uint64_t(0));
     for (const json &item : document.at("routers")) {
         const std::chrono::milliseconds age(item.at(4).get<std::int64_t>());
         message.routers.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<std::string>(),
-                                   item.at(3).get<std::string>(), age});
+                                   item.at(3).get<std::string>(), age, newerElement<std::uint64_t>(item, 5, 0)});
     }
     for (const auto &[kind, digest] : document.at("digests").items()) {
         message.digests.push_back({kind,
@@ -506,10 +533,6 @@
             appendNumber<std::uint64_t>(prompts, prompt.parts[i]);
         }
     }
-    std::string recentRouters;
-    for (const std::uint32_t router : heartbeat.recentRouters) {
-        appendNumber<std::uint32_t>(recentRouters, router);
-    }
     json digests = json::array();
     for (const kind_digest &digest : heartbeat.digests) {
         digests.push_back({digest.kind, digest.asOf.number, digest.hash, digest.asOf.era, digest.keepsLost});
@@ -524,12 +547,27 @@
         sinceApiAnswer = std::chrono::duration_cast<std::chrono::milliseconds>(*heartbeat.sinceApiAnswer).count();
     }
     std::string bytes;
-    json::to_msgpack(
-        json::array({heartbeat.name, heartbeat.isLeader, heartbeat.isApiReachable, heartbeat.routersCovered, interval, load.source,
-                     static_cast<unsigned>(load.scope), usageBytes, prompts, std::move(leaving), std::move(digests), recentRouters,
-                     evidenceToJson(heartbeat.evidence), limitsToBytes(heartbeat.limits), std::move(sinceApiAnswer),
-                     rolloutsToBytes(load.rollouts), admissionToJson(load.admission), figuresToBytes(load.usage)}),
-        bytes);
+    json::to_msgpack(json::array({heartbeat.name,
+                                  heartbeat.isLeader,
+                                  heartbeat.isApiReachable,
+                                  heartbeat.routersCovered,
+                                  interval,
+                                  load.source,
+                                  static_cast<unsigned>(load.scope),
+                                  usageBytes,
+                                  prompts,
+                                  std::move(leaving),
+                                  std::move(digests),
+                                  "",
+                                  evidenceToJson(heartbeat.evidence),
+                                  limitsToBytes(heartbeat.limits),
+                                  std::move(sinceApiAnswer),
+                                  rolloutsToBytes(load.rollouts),
+                                  admissionToJson(load.admission),
+                                  figuresToBytes(load.usage),
+                                  heartbeat.counter,
+                                  livenessToBytes(heartbeat.recentRouters)}),
+                     bytes);
     return bytes;
 }
 
@@ -578,10 +616,7 @@
                                      digest.at(2).get<std::uint64_t>(),
                                      newerElement(digest, 4, false)});
     }
-    const auto &recentRouters = document.at(11).get_ref<const std::string &>();
-    for (std::string_view rest = recentRouters; !rest.empty();) {
-        heartbeat.recentRouters.push_back(readNumber<std::uint32_t>(rest));
-    }
+    // Element 11: routers of an earlier version list others there, without anything that shows how old that is.
     if (document.size() > 12) { // routers of an earlier version send none
         heartbeat.evidence = evidenceFromJson(document.at(12));
     }
@@ -600,6 +635,10 @@
     if (document.size() > 17) {
         figuresFromBytes(document.at(17).get_ref<const std::string &>(), load.usage);
     }
+    heartbeat.counter = newerElement<std::uint64_t>(document, 18, 0);
+    if (document.size() > 19) {
+        heartbeat.recentRouters = livenessFromBytes(document.at(19).get_ref<const std::string &>());
+    }
     return heartbeat;
 }
 
--- a/programs/entry/gossip_codec.h
+++ b/programs/entry/gossip_codec.h
@@ -45,10 +45,11 @@
     duration interval {0}; // time between two heartbeats of the sender
     load_update load;
     std::vector<kind_digest> digests; // a receiver whose own state stays older does not get changes from the object API
-    std::vector<std::uint32_t> recentRouters; // name keys of live routers; not in every heartbeat
+    std::vector<router_liveness> recentRouters; // live routers; not in every heartbeat
     std::vector<part_evidence> evidence; // on prompt parts that crash engines, from all routers
     std::vector<limit_statement> limits; // that upstreams stated to any router
     std::optional<duration> sinceApiAnswer; // since the object API last answered a call of the sender; nothing if it never did
+    std::uint64_t counter = 0; // heartbeat counter of the sender
 };
 
 /// Encodes a heartbeat. Counts above 16 bits are clamped, and pending prefill tokens are rounded up to a multiple of 64.
@@ -75,7 +76,8 @@
     std::vector<peer_info> routers; // other routers that it knows
     std::vector<kind_digest> digests;
     bool wantsPrompts = false; // set in requests of a router that has just started
-    std::vector<prompt_location> prompts; // in answers, if the request set wantsPrompts
+    std::vector<prompt_location> prompts {}; // in answers, if the request set wantsPrompts
+    std::uint64_t counter = 0; // heartbeat counter of the sender
 };
 
 std::string encodeGossipMessage(const gossip_message &message);
--- a/src/router_gossip.cpp
+++ b/src/router_gossip.cpp
@@ -5,13 +5,14 @@
 #include <nutmegtally/router_gossip.h>
 
 #include <algorithm>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace nutmegtally
 {
 
 router_gossip::router_gossip(gossip_options options)
     : m_options(std::move(options))
+    , m_counterBase(m_options.startedAtMs)
 {
     addSeeds(m_options.seeds);
 }
@@ -40,7 +41,7 @@
     std::vector<peer_info> peers;
     for (const auto &[name, other] : m_peers) {
         if (now - other.lastSeenAt < limits::routerLifetime) {
-            peers.push_back({name, other.address, other.loadAddress, other.domain, now - other.lastSeenAt});
+            peers.push_back({name, other.address, other.loadAddress, other.domain, now - other.lastSeenAt, other.counter});
         }
     }
     return peers;
@@ -51,52 +52,107 @@
     return static_cast<std::uint32_t>(hashText(name) >> 32);
 }
 
-std::vector<std::uint32_t> router_gossip::recentlySeen(std::string_view domain, time_point now) const
+std::uint64_t router_gossip::counter(time_point now) const
 {
-    std::vector<std::uint32_t> keys {nameKey(m_options.name)};
+    return m_counterBase
+           + static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_options.startedAt).count());
+}
+
+void router_gossip::outrun(std::uint64_t known, time_point now)
+{
+    if (const std::uint64_t own = counter(now); known > own) {
+        m_counterBase += known - own;
+    }
+}
+
+std::vector<router_liveness> router_gossip::recentlySeen(std::string_view domain, time_point now) const
+{
+    std::vector<router_liveness> routers {{nameKey(m_options.name), counter(now), duration(0)}};
     for (const auto &[name, other] : m_peers) {
-        if (now - other.lastSeenAt < limits::recentlySeenTime && (domain.empty() || other.domain == domain)) {
-            keys.push_back(nameKey(name));
+        const duration age = now - other.lastSeenAt;
+        if (age < limits::recentlySeenTime && (domain.empty() || other.domain == domain)) {
+            routers.push_back({nameKey(name), other.counter, age});
         }
     }
-    return keys;
+    return routers;
+}
+
+bool router_gossip::refresh(peer &known, std::uint64_t counter, time_point lastSeenAt)
+{
+    // Without counters only the age is left. It is short of the time on the way, so a report counts as newer than what it repeats.
+    const bool isUncounted = counter == 0 && known.counter == 0;
+    if (lastSeenAt <= known.lastSeenAt || !(counter > known.counter || isUncounted)) {
+        return false;
+    }
+    known.counter = counter;
+    known.lastSeenAt = lastSeenAt;
+    return true;
 }
 
 void router_gossip::on(time_point now, const gossip_event::liveness_received &input, std::vector<effect> &)
 {
-    const std::unordered_set<std::uint32_t> keys(input.routers.begin(), input.routers.end());
+    std::unordered_map<std::uint32_t, const router_liveness *> reports;
+    for (const router_liveness &report : input.routers) {
+        reports.emplace(report.router, &report);
+    }
     for (auto &[name, other] : m_peers) {
-        if (keys.contains(nameKey(name))) {
-            other.lastSeenAt = std::max(other.lastSeenAt, now);
+        if (const auto report = reports.find(nameKey(name)); report != reports.end()) {
+            refresh(other, report->second->counter, now - report->second->age);
         }
     }
+    if (const auto own = reports.find(nameKey(m_options.name)); own != reports.end()) {
+        outrun(own->second->counter, now);
+    }
+}
+
+void router_gossip::recordMessage(const peer_info &sender, time_point now)
+{
+    if (sender.name == m_options.name || sender.name.empty()) {
+        return;
+    }
+    peer &known = m_peers[sender.name];
+    known.address = sender.address;
+    known.loadAddress = sender.loadAddress;
+    known.domain = sender.domain;
+    known.lastSeenAt = now;
+    known.counter = sender.counter; // may be lower than before: a new process whose clock was set back
+    m_departed.erase(sender.name);
+    m_targets[sender.address];
 }
 
-void router_gossip::updatePeer(const peer_info &info, time_point lastSeenAt)
+void router_gossip::recordReport(const peer_info &info, time_point now)
 {
-    if (info.name == m_options.name || info.name.empty()) {
+    if (info.name == m_options.name) {
+        outrun(info.counter, now);
+    }
+    if (info.name == m_options.name || info.name.empty() || info.age >= limits::routerLifetime) {
         return;
     }
-    peer &known = m_peers[info.name];
-    if (known.address.empty() || lastSeenAt > known.lastSeenAt) {
-        known.address = info.address;
-        known.loadAddress = info.loadAddress;
-        known.domain = info.domain;
-        known.lastSeenAt = lastSeenAt;
+    const auto known = m_peers.find(info.name);
+    if (known == m_peers.end()) {
+        const auto departed = m_departed.find(info.name);
+        if (departed != m_departed.end() && info.counter <= departed->second.counter) {
+            return;
+        }
+        m_peers[info.name] = {info.address, info.loadAddress, info.domain, now - info.age, info.counter, std::nullopt};
+        m_departed.erase(info.name);
+        m_targets[info.address];
+    } else if (refresh(known->second, info.counter, now - info.age)) {
+        known->second.address = info.address;
+        known->second.loadAddress = info.loadAddress;
+        known->second.domain = info.domain;
         m_targets[info.address];
     }
 }
 
 void router_gossip::on(time_point now, const gossip_event::message_received &input, std::vector<effect> &effects)
 {
-    updatePeer({input.name, input.address, input.loadAddress, input.domain, duration(0)}, now);
+    recordMessage({input.name, input.address, input.loadAddress, input.domain, duration(0), input.counter}, now);
     sync_target &sender = m_targets[input.address];
     sender.failures = 0;
     sender.retryAt = now;
     for (const peer_info &info : input.knownPeers) {
-        if (info.age < limits::routerLifetime) {
-            updatePeer(info, now - info.age);
-        }
+        recordReport(info, now);
     }
     publishLive(now, effects);
 }
@@ -109,6 +165,7 @@
     }
     peer &known = sender->second;
     known.lastSeenAt = std::max(known.lastSeenAt, now);
+    known.counter = input.counter;
     if (!input.isNewer) {
         // A change reaches routers at different times: only state that stays newer shows that this router missed something.
         known.aheadSince.reset();
@@ -152,9 +209,25 @@
     }
 }
 
+void router_gossip::dropSilentPeers(time_point now, std::vector<effect> &effects)
+{
+    std::erase_if(m_departed, [now](const auto &entry) { return now >= entry.second.keptUntil; });
+    for (auto each = m_peers.begin(); each != m_peers.end();) {
+        if (now - each->second.lastSeenAt <= limits::routerLifetime) {
+            ++each;
+            continue;
+        }
+        log_line line;
+        line.with("router", each->first).with("domain", each->second.domain).with("counter", each->second.counter);
+        effects.emplace_back(log_record {log_event::routerDeparted, line.take()});
+        m_departed[each->first] = {each->second.counter, now + limits::routerLifetime};
+        each = m_peers.erase(each);
+    }
+}
+
 void router_gossip::on(time_point now, const gossip_event::tick &input, std::vector<effect> &effects)
 {
-    std::erase_if(m_peers, [now](const auto &entry) { return now - entry.second.lastSeenAt > limits::routerLifetime; });
+    dropSilentPeers(now, effects);
     publishLive(now, effects);
     if (now < m_nextSyncAt) {
         return;
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -534,13 +534,16 @@
     message.address = "10.0.0.1:1";
     message.loadAddress = "10.0.0.1:2";
     message.domain = "d";
-    message.routers = {{"b", "10.0.0.2:1", "10.0.0.2:2", "d", 1500ms}};
+    message.routers = {{"b", "10.0.0.2:1", "10.0.0.2:2", "d", 1500ms, 0xfffffffffffffff0}};
+    message.counter = 0xfffffffffffffff1;
     message.digests = {{"config", {3, 9}, 77, true}};
     message.wantsPrompts = true;
     message.prompts = {{5, {6, 7}}};
     const gossip_message read = decodeGossipMessage(decompressMessage(compressMessage(encodeGossipMessage(message))));
     BOOST_TEST(read.name == "a");
     BOOST_TEST((read.routers.at(0).age == 1500ms));
+    BOOST_TEST(read.routers.at(0).counter == message.routers.at(0).counter);
+    BOOST_TEST(read.counter == message.counter);
     BOOST_TEST(read.digests.at(0).hash == 77U);
     BOOST_TEST((read.digests.at(0).asOf == store_revision(3, 9)));
     BOOST_TEST(read.digests.at(0).keepsLost);
@@ -557,7 +560,10 @@
     BOOST_TEST((read.state.asOf == store_revision(9)));
     BOOST_TEST((read.state.objects.at(0).revision == store_revision(8)));
     const gossip_message message
-        = decodeGossipMessage(R"({"name":"a","address":"x","loadAddress":"y","domain":"d","routers":[],"digests":{"config":[9,77]}})");
+        = decodeGossipMessage(R"({"name":"a","address":"x","loadAddress":"y","domain":"d","routers":[["b","z","u","d",20]],)"
+                              R"("digests":{"config":[9,77]}})");
+    BOOST_TEST(message.counter == 0U);
+    BOOST_TEST(message.routers.at(0).counter == 0U);
     BOOST_TEST((message.digests.at(0).asOf == store_revision(9)));
 }
 
@@ -618,7 +624,8 @@
     sent.sinceApiAnswer = 1200ms;
     sent.load = {"domain", {{0x0102030400000000, 2, 640}}, {{4, {5, 6}}}, {{9, 10}}, load_scope::domain};
     sent.digests = {{"config", {1, 7}, 8, true}};
-    sent.recentRouters = {11, 0xffffffff};
+    sent.counter = 0x0102030405060708;
+    sent.recentRouters = {{11, 0xfffffffffffffff0, 1499ms}, {0xffffffff, 1, 0ms}};
     sent.limits = {{{0xfffffffe, 3}, 2.25, 40ms}, {{5, 0xffffffff}, std::nullopt, 1h}};
     sent.evidence = {{7, 1, std::nullopt, {{12, 30ms, 50ms}, {0xffffffff, 1h, 2h}}}, {0xfffffffffffffff0, 0, 2s, {}}};
     const std::string bytes = encodeHeartbeat(sent);
@@ -633,6 +640,7 @@
     BOOST_TEST((read.load.scope == load_scope::domain));
     BOOST_TEST(read.load.usage.at(0).upstream == 0x0102030400000000U);
     BOOST_TEST(read.load.usage.at(0).inFlight == 2U);
+    BOOST_TEST(read.counter == sent.counter);
     BOOST_TEST((read.recentRouters == sent.recentRouters));
     BOOST_TEST(read.load.usage.at(0).pendingPrefillTokens == 640U);
     BOOST_TEST(read.load.prompts.at(0).parts.at(1) == 6U);
@@ -682,13 +690,15 @@
     BOOST_TEST(document.at(7).get<std::string>().size() == 4U * 8);
     BOOST_TEST(document.at(16).is_array());
     BOOST_TEST(document.at(17).get<std::string>().size() == 4U * 6);
-    document.erase(17);
-    document.erase(16);
+    BOOST_TEST(document.at(11).is_string()); // earlier versions read it
+    document.erase(document.begin() + 16, document.end());
     bytes.clear();
     nlohmann::json::to_msgpack(document, bytes);
     const auto earlier = std::get<router_heartbeat>(decodeDatagram(bytes.data(), bytes.size()));
     BOOST_TEST(earlier.load.usage.at(0).inFlight == 3U);
     BOOST_TEST(earlier.load.usage.at(0).slowness.weight == 0);
+    BOOST_TEST(earlier.counter == 0U);
+    BOOST_TEST(earlier.recentRouters.empty());
 }
 
 BOOST_AUTO_TEST_CASE(permitMessage_roundTrip_keepsAllFields)
--- a/tests/test_router_gossip.cpp
+++ b/tests/test_router_gossip.cpp
@@ -3,7 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <deque>
 #include <map>
+#include <memory>
 
 namespace
 {
@@ -44,6 +47,139 @@
     std::size_t live = 0;
 };
 
+/// Routers whose messages arrive some time after they were sent. Leaders hear each other and the members of their domain, members
+/// only the leaders of their domain.
+struct gossip_fleet {
+    struct router {
+        std::string name;
+        std::string domain;
+        bool isLeader = false;
+        bool isUp = true;
+        std::unique_ptr<router_gossip> gossip;
+        std::size_t live = 0;
+    };
+
+    struct message {
+        time_point arrivesAt;
+        std::string from;
+        std::uint64_t counter = 0;
+        std::vector<router_liveness> routers;
+        std::string to;
+    };
+
+    /// Adds a domain whose first routers are leaders.
+    void addDomain(const std::string &domain, unsigned count, unsigned leaders)
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            const std::string name = domain + std::to_string(i);
+            routers.push_back({name, domain, i < leaders, true, nullptr, 0});
+            start(routers.back(), 1'000'000);
+        }
+    }
+
+    /// Starts a router's process, or replaces it.
+    void start(router &each, std::uint64_t startedAtMs) const
+    {
+        each.gossip
+            = std::make_unique<router_gossip>(gossip_options {each.name, each.name + ":1", each.domain, {}, false, startedAtMs, now});
+    }
+
+    void sync(router &each, const router &other)
+    {
+        apply(each, gossip_event::message_received {other.name, other.name + ":1", other.name + ":2", other.domain,
+                                                    other.gossip->knownPeers(now), other.gossip->counter(now)});
+    }
+
+    /// Syncs every router with every other one.
+    void introduce()
+    {
+        for (router &each : routers) {
+            for (const router &other : routers) {
+                if (each.name != other.name) {
+                    sync(each, other);
+                }
+            }
+        }
+    }
+
+    template<typename Event>
+    void apply(router &each, const Event &event)
+    {
+        std::vector<router_gossip::effect> effects;
+        each.gossip->apply(now, event, effects);
+        for (const router_gossip::effect &effect : effects) {
+            if (const auto *changed = std::get_if<gossip_effect::routers_changed>(&effect)) {
+                each.live = changed->live.size();
+            }
+        }
+    }
+
+    void send(const router &from, const router &to)
+    {
+        message sent {now + delay, from.name, from.gossip->counter(now), {}, to.name};
+        if (from.isLeader && round % 5 == 0) {
+            sent.routers = from.gossip->recentlySeen(from.domain == to.domain ? "" : from.domain, now);
+        }
+        underway.push_back(std::move(sent));
+    }
+
+    void deliver()
+    {
+        for (; !underway.empty() && underway.front().arrivesAt <= now; underway.pop_front()) {
+            const message &arrived = underway.front();
+            const auto to = std::find_if(routers.begin(), routers.end(), [&](const router &each) { return each.name == arrived.to; });
+            if (!to->isUp) {
+                continue;
+            }
+            apply(*to, gossip_event::digest_compared {arrived.from, false, false, arrived.counter});
+            if (!arrived.routers.empty()) {
+                apply(*to, gossip_event::liveness_received {arrived.routers});
+            }
+        }
+    }
+
+    void run(duration length)
+    {
+        for (const time_point end = now + length; now < end; now += 100ms, ++round) {
+            deliver();
+            for (router &from : routers) {
+                if (!from.isUp) {
+                    continue;
+                }
+                apply(from, gossip_event::tick {});
+                for (const router &to : routers) {
+                    const bool isOwnDomain = from.domain == to.domain;
+                    if (from.name != to.name && ((isOwnDomain && (from.isLeader || to.isLeader)) || (from.isLeader && to.isLeader))) {
+                        send(from, to);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Numbers of live routers that the routers count which run: the lowest and the highest.
+    std::pair<std::size_t, std::size_t> counts() const
+    {
+        std::size_t lowest = routers.size();
+        std::size_t highest = 0;
+        for (const router &each : routers) {
+            if (each.isUp) {
+                lowest = std::min(lowest, each.live);
+                highest = std::max(highest, each.live);
+            }
+        }
+        return {lowest, highest};
+    }
+
+    std::vector<router> routers;
+    std::deque<message> underway;
+    duration delay = 2ms;
+    unsigned round = 0;
+    time_point now;
+};
+
+using live_counts = std::pair<std::size_t, std::size_t>;
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(router_gossip_suite, gossip_fixture)
@@ -106,9 +242,89 @@
 {
     receive(0ms, "b");
     receive(0ms, "c");
-    at(10s, gossip_event::liveness_received {{router_gossip::nameKey("b")}});
+    at(10s, gossip_event::liveness_received {{{router_gossip::nameKey("b"), 1, 0ms}}});
+    at(16s, gossip_event::tick {});
+    BOOST_TEST(live == 2);
+}
+
+// Guards against routers that are gone and stay in the count, as the others repeat each other's reports on them: their parts of shared
+// limits, and the duties that were theirs, stayed with them.
+BOOST_AUTO_TEST_CASE(routersGone_othersRepeatReports_areForgotten)
+{
+    for (const unsigned perDomain : {1U, 2U, 3U, 7U}) {
+        for (const duration delay : {2ms, 400ms, 1200ms}) {
+            gossip_fleet fleet;
+            fleet.delay = delay;
+            for (const char *domain : {"a", "b", "c", "d"}) {
+                fleet.addDomain(domain, perDomain, 2);
+            }
+            fleet.introduce();
+            fleet.run(5s);
+            BOOST_TEST((fleet.counts() == live_counts(4 * perDomain, 4 * perDomain)));
+            for (unsigned i = 0; i < perDomain; ++i) {
+                fleet.routers[i].isUp = false;
+            }
+            fleet.run(10s);
+            BOOST_TEST((fleet.counts() == live_counts(4 * perDomain, 4 * perDomain))); // they may only be cut off
+            fleet.run(10s);
+            BOOST_TEST((fleet.counts() == live_counts(3 * perDomain, 3 * perDomain)), perDomain << " in a domain");
+        }
+    }
+}
+
+// Guards against a live router that drops out of the count where nobody hears it directly.
+BOOST_AUTO_TEST_CASE(routersAlive_heardThroughLeadersOnly_stayInTheCount)
+{
+    gossip_fleet fleet;
+    for (const char *domain : {"a", "b", "c"}) {
+        fleet.addDomain(domain, 6, 2);
+    }
+    fleet.introduce();
+    fleet.run(60s);
+    BOOST_TEST((fleet.counts() == live_counts(18, 18)));
+}
+
+// Guards against a router whose reports nobody believes after it started again, as its clock was set back meanwhile.
+BOOST_AUTO_TEST_CASE(routerRestarts_clockWasSetBack_isCountedAgain)
+{
+    gossip_fleet fleet;
+    for (const char *domain : {"a", "b", "c"}) {
+        fleet.addDomain(domain, 6, 2);
+    }
+    fleet.introduce();
+    fleet.run(5s);
+    gossip_fleet::router &member = fleet.routers[5];
+    fleet.start(member, 1);
+    fleet.sync(fleet.routers[0], member);
+    fleet.sync(member, fleet.routers[0]);
+    fleet.run(60s);
+    BOOST_TEST((fleet.counts() == live_counts(18, 18)));
+}
+
+// Guards against a router that two others take back into the count in turn, each when it hears the other's older report.
+BOOST_AUTO_TEST_CASE(routerDropped_laterReportOfTheSameCounter_isNoSignOfLife)
+{
+    const peer_info gone {"c", "c:1", "c:2", "domain", 0ms, 7};
+    at(0ms, gossip_event::message_received {"c", "c:1", "c:2", "domain", {}, 7});
     at(16s, gossip_event::tick {});
+    BOOST_TEST(live == 1);
+    peer_info report = gone;
+    report.age = 14s;
+    at(17s, gossip_event::message_received {"b", "b:1", "b:2", "domain", {report}, 1});
     BOOST_TEST(live == 2);
+    report.counter = 8;
+    at(18s, gossip_event::message_received {"b", "b:1", "b:2", "domain", {report}, 2});
+    BOOST_TEST(live == 3);
+}
+
+// Guards against a process that continues below the counter of the one before it, so that reports on it are taken for old ones.
+BOOST_AUTO_TEST_CASE(messageReceived_higherCounterOfItsOwn_isOutrun)
+{
+    const std::uint64_t before = gossip.counter(time_point(1s));
+    at(1s, gossip_event::message_received {"b", "b:1", "b:2", "domain", {{"self", "self:1", "self:2", "domain", 3s, before + 50}}, 1});
+    BOOST_TEST(gossip.counter(time_point(1s)) == before + 50);
+    at(1s, gossip_event::liveness_received {{{router_gossip::nameKey("self"), before + 90, 0ms}}});
+    BOOST_TEST(gossip.counter(time_point(1001ms)) == before + 91);
 }
 
 BOOST_AUTO_TEST_CASE(digestCompared_newerAtAWatchingRouter_startsASyncAtOnce)
