Object API: every router that watches notices lost answers itself

Cause: two routers for each kind of object had watches of 1 s, by rank among the planned leaders of all domains, heard or not. All others waited for 25 s, and a watch without an answer looks like one without changes. When the two were gone, nobody missed the answers. Whatever few routers have the duty, any number of them may be lost at once.

Change: every watch ends after 1.4 s, those of closures after 2.5 s; the duty, its ranking and the flag in role_changed are gone.

Tests replaced: shortWatches_ofEachKind_areAssignedToTwoLeaders, watch_ofARouterWithShortWatches_ endsWithinASecond and watch_ofASingleRouter_isShort held to the duty that is gone. The bound behind them, changes known three seconds after an outage, now holds for every router at every moment of an outage. watch_afterFailures_isShort expects the usual timeout again afterwards, which was long.

Why it works: timeout, margin, a tick and a repeat are below the time after an outage in which changes must take effect, at each router by itself.

--- a/include/nutmegtally/leader_election.h
+++ b/include/nutmegtally/leader_election.h
@@ -68,10 +68,6 @@
     /// The other routers of this router's domain.
     std::vector<const router_endpoint *> domainPeers() const;
 
-    /// True if this router is one of the few that watch a kind of object with a short timeout, so that a watch whose connection
-    /// was lost without an error is noticed soon.
-    bool usesShortWatches(std::string_view kind) const;
-
 private:
     struct leader_state {
         time_point lastSeenAt; // last heartbeat as a leader that reaches the object API
--- a/include/nutmegtally/object_follower.h
+++ b/include/nutmegtally/object_follower.h
@@ -23,8 +23,10 @@
 
 struct follower_options {
     std::string kind; // for log lines
-    duration watchTimeout = std::chrono::seconds(25); // after which a watch without changes returns
-    duration shortWatchTimeout = std::chrono::seconds(1); // the same for routers with short watches
+    /// After which a watch without changes returns. A watch whose answer was lost looks like one without changes until its end, so this
+    /// bounds how long a router misses a change, also if no other router is left to tell it. Changes take effect three seconds after an
+    /// outage.
+    duration watchTimeout = std::chrono::milliseconds(1400);
     duration initialListDelay {0}; // before the first list, to get a snapshot from another router instead
     duration watchDelay {0}; // between changes and the next watch, so that one call returns several changes
     /// How long an object that is missing after an outage stays usable, from the last failed call on. Entries that expired in
@@ -80,7 +82,6 @@
 /// Whether this router calls the API on behalf of others.
 struct role_changed {
     bool watchesApi = true; // false: it gets snapshots from routers that do
-    bool usesShortWatches = true; // to notice soon if a watch was lost without an error
 };
 
 struct tick {
@@ -247,7 +248,6 @@
     time_point m_nextDoubtAt; // until then, differences are ignored: the last one was followed by a list
     unsigned m_failures = 0; // calls that failed in a row
     bool m_watchesApi = true;
-    bool m_usesShortWatches = true;
     std::deque<removal> m_removals; // in the order of their revisions, at most limits::maxRemovals
     store_revision m_removalsSince; // all removals after this revision are in m_removals
     time_point m_nextCallAt;
--- a/programs/entry/entry_daemon.cpp
+++ b/programs/entry/entry_daemon.cpp
@@ -22,7 +22,6 @@
 
 constexpr duration tickInterval = 100ms; // period in which followers, gossip and shutdown are checked
 constexpr duration firstStartListDelay = 2s; // the first time the system starts, only seeds list at once; others sync from them
-constexpr duration watchTimeoutMargin = 1s; // time for the response to a watch beyond the wait itself
 constexpr duration upstreamsWatchDelay = 200ms; // batches changes: rollouts replace upstreams one by one, and calls are charged
 constexpr duration closureKeepTime = 6s; // that a closure stays which the restored object API lacks; operators write it again sooner
 constexpr duration listTimeout = 1500ms; // for one page; a slow store takes some hundred milliseconds
@@ -40,6 +39,7 @@
         options.keepAfterRestore = std::nullopt; // acknowledged rules and orders hold until newer ones are written
     } else if (kind == platform::kind::closures) {
         options.keepAfterRestore = closureKeepTime;
+        options.watchTimeout = limits::closureWatchTimeout;
     }
     options.watchDelay = kind == platform::kind::upstreams ? upstreamsWatchDelay : duration(0);
     const bool isSeed = std::find(settings.seeds.begin(), settings.seeds.end(), settings.routersListen) != settings.seeds.end();
@@ -223,7 +223,7 @@
 void entry_daemon::carryOut(object_kind kind, const follower_effect::watch_changes &watch)
 {
     const std::string target = platform::watchTarget(objectKindNames[static_cast<std::size_t>(kind)], watch);
-    callObjects(kind, target, watch.watchTimeout + watchTimeoutMargin, platform::decodeChanges);
+    callObjects(kind, target, watch.watchTimeout + limits::watchTimeoutMargin, platform::decodeChanges);
 }
 
 void entry_daemon::carryOut(object_kind kind, const follower_effect::object_changed &changed)
--- a/programs/entry/entry_daemon_peers.cpp
+++ b/programs/entry/entry_daemon_peers.cpp
@@ -60,8 +60,7 @@
         m_serving.post(entry_event::role_changed {m_election.isLeader()});
     }
     for (std::size_t i = 0; i < followedKinds(); ++i) {
-        apply(static_cast<object_kind>(i),
-              follower_event::role_changed {m_election.isLeader(), m_election.usesShortWatches(objectKindNames[i])});
+        apply(static_cast<object_kind>(i), follower_event::role_changed {m_election.isLeader()});
     }
     std::vector<std::string> addresses;
     for (const router_endpoint *leader : m_election.ownLeaders(now())) {
--- a/src/leader_election.cpp
+++ b/src/leader_election.cpp
@@ -2,7 +2,6 @@
 
 #include <nutmegtally/ids.h>
 #include <nutmegtally/leader_election.h>
-#include <nutmegtally/router_rank.h>
 
 #include <algorithm>
 
@@ -170,23 +169,4 @@
     return endpoints;
 }
 
-bool leader_election::usesShortWatches(std::string_view kind) const
-{
-    // Ranks the planned leaders of all domains by kind, so that one router does not have the short watches of all kinds.
-    std::vector<std::uint64_t> leaders;
-    bool isPlannedLeader = true;
-    for (const auto &[domain, members] : m_domains) {
-        std::size_t left = limits::leadersPerDomain;
-        if (domain == m_domain) {
-            const auto ahead = std::count_if(members.begin(), members.end(), [this](const member &each) { return each.rank < m_rank; });
-            isPlannedLeader = static_cast<std::size_t>(ahead) < limits::leadersPerDomain;
-            left -= isPlannedLeader ? 1 : 0;
-        }
-        for (std::size_t i = 0; i < std::min(left, members.size()); ++i) {
-            leaders.push_back(hashText(members[i].endpoint.name));
-        }
-    }
-    return isPlannedLeader && isAmongFirst(hashText(m_self), leaders, hashText(kind), limits::shortWatchRouters);
-}
-
 } // namespace nutmegtally
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -55,10 +55,8 @@
 {
     m_callStartedAt = now;
     m_phase = phase::watching;
-    duration watchTimeout = m_usesShortWatches ? m_options.shortWatchTimeout : m_options.watchTimeout;
-    if (m_failures > 0) {
-        watchTimeout = limits::watchTimeoutAfterFailure; // an early answer shows that the API is available again
-    }
+    // An early answer shows that the API is available again.
+    const duration watchTimeout = m_failures > 0 ? limits::watchTimeoutAfterFailure : m_options.watchTimeout;
     m_watchedSince = m_asOf;
     effects.emplace_back(follower_effect::watch_changes {m_asOf, watchTimeout});
 }
@@ -375,7 +373,6 @@
 
 void object_follower::on(time_point now, const follower_event::role_changed &input, std::vector<effect> &)
 {
-    m_usesShortWatches = input.usesShortWatches;
     if (m_watchesApi == input.watchesApi) {
         return;
     }
--- a/tests/test_leader_election.cpp
+++ b/tests/test_leader_election.cpp
@@ -181,27 +181,11 @@
     BOOST_TEST(member.leaders->isPreferredLeader(planned[0]->endpoint.name, now));
 }
 
-BOOST_AUTO_TEST_CASE(shortWatches_ofEachKind_areAssignedToTwoLeaders)
-{
-    build(5, 21);
-    run(3s);
-    for (const char *kind : {"a", "b", "c"}) {
-        std::size_t shortWatchCount = 0;
-        for (const router &each : routers) {
-            const bool usesShortWatches = each.leaders->usesShortWatches(kind);
-            BOOST_TEST((!usesShortWatches || each.leaders->isLeader()));
-            shortWatchCount += usesShortWatches ? 1 : 0;
-        }
-        BOOST_TEST(shortWatchCount == 2U);
-    }
-}
-
-BOOST_AUTO_TEST_CASE(singleRouter_noOthers_isALeaderWithShortWatches)
+BOOST_AUTO_TEST_CASE(singleRouter_noOthers_isALeader)
 {
     build(1, 1);
     run(1s);
     BOOST_TEST(routers.front().leaders->isLeader());
-    BOOST_TEST(routers.front().leaders->usesShortWatches("kind"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/test_object_follower.cpp
+++ b/tests/test_object_follower.cpp
@@ -1,4 +1,5 @@
 // List and watch of the platform's objects through outages, expired history and snapshots from other routers.
+#include "src/limits.h"
 #include "tests/follower_fixture.h"
 
 #include <nutmegtally/ids.h>
@@ -67,12 +68,6 @@
         return object_follower(options);
     }
 
-    /// Assigns the short watches to other routers.
-    void disableShortWatches()
-    {
-        at(0ms, follower_event::role_changed {true, false});
-    }
-
     /// A snapshot with all objects of another router.
     static follower_event::snapshot_received all(std::vector<stored_object> objects, store_revision asOf)
     {
@@ -82,6 +77,80 @@
     duration lastFailure {0};
 };
 
+/// An object API that is silent for a time: calls that start or are answered then are lost, and their connections return nothing further.
+struct silent_store {
+    static constexpr duration roundTrip = 4ms;
+
+    /// Plays a follower's calls. @return When it knows the change.
+    duration timeUntilKnown(follower_options options)
+    {
+        object_follower follower(std::move(options));
+        for (duration now = 0ms; now < changedAt + 60s; now += 10ms) {
+            std::vector<object_follower::effect> effects;
+            if (now.count() % duration(100ms).count() == 0) {
+                follower.apply(time_point(now), follower_event::tick {}, effects);
+            }
+            answer(follower, now, effects);
+            for (const object_follower::effect &each : effects) {
+                if (std::holds_alternative<follower_effect::read_page>(each)) {
+                    call = {now, 1500ms, true, isSilent(now)};
+                } else if (const auto *watch = std::get_if<follower_effect::watch_changes>(&each)) {
+                    call = {now, watch->watchTimeout, false, isSilent(now)};
+                }
+            }
+            if (follower.asOf() >= changedRevision) {
+                return now;
+            }
+        }
+        return duration::max();
+    }
+
+    struct running_call {
+        duration startedAt {0};
+        duration timeout {0};
+        bool isList = false;
+        bool isLost = false;
+    };
+
+    bool isSilent(duration now) const
+    {
+        return now >= silentFrom && now < silentUntil;
+    }
+
+    void answer(object_follower &follower, duration now, std::vector<object_follower::effect> &effects)
+    {
+        if (!call || now < call->startedAt + roundTrip) {
+            return;
+        }
+        const store_revision asOf = now >= changedAt ? changedRevision : store_revision(10);
+        const bool isDue = call->isList || now >= call->startedAt + call->timeout || follower.asOf() < asOf;
+        call->isLost = call->isLost || (isDue && isSilent(now));
+        if (call->isLost) {
+            if (now >= call->startedAt + call->timeout + (call->isList ? 0ms : limits::watchTimeoutMargin)) {
+                call.reset();
+                follower.apply(time_point(now), follower_event::call_failed {"no answer in time"}, effects);
+            }
+        } else if (isDue) {
+            const bool isList = call->isList;
+            call.reset();
+            const std::vector<stored_object> objects {{"main", asOf, "{}", false}};
+            if (isList) {
+                follower.apply(time_point(now), follower_event::page_received {objects, false, asOf}, effects);
+            } else {
+                const bool isChanged = asOf > follower.asOf();
+                const auto changes = isChanged ? objects : std::vector<stored_object>();
+                follower.apply(time_point(now), follower_event::changes_received {changes, asOf}, effects);
+            }
+        }
+    }
+
+    duration silentFrom;
+    duration silentUntil;
+    duration changedAt;
+    std::optional<running_call> call {};
+    store_revision changedRevision {11};
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(object_follower_suite, follower_fixture)
@@ -181,7 +250,7 @@
 BOOST_AUTO_TEST_CASE(copyDiffers_routerWithoutCalls_listsOnce)
 {
     start();
-    at(10ms, follower_event::role_changed {false, false});
+    at(10ms, follower_event::role_changed {false});
     at(1s, follower_event::changes_received {{}, 12});
     BOOST_TEST(follower.differsFrom(12, follower.contentHash() + 1, false));
     BOOST_TEST(!follower.differsFrom(12, follower.contentHash(), false));
@@ -329,14 +398,13 @@
 BOOST_AUTO_TEST_CASE(watch_afterFailures_isShort)
 {
     start();
-    disableShortWatches();
     outage(2s);
     at(5s, follower_event::tick {});
     BOOST_REQUIRE(effect<follower_effect::watch_changes>() != nullptr);
     BOOST_TEST((effect<follower_effect::watch_changes>()->watchTimeout <= 500ms));
     at(5300ms, follower_event::changes_received {{}, 10});
     BOOST_REQUIRE(effect<follower_effect::watch_changes>() != nullptr);
-    BOOST_TEST((effect<follower_effect::watch_changes>()->watchTimeout >= 20s));
+    BOOST_TEST((effect<follower_effect::watch_changes>()->watchTimeout == follower_options {}.watchTimeout));
 }
 
 BOOST_AUTO_TEST_CASE(snapshot_newerThanOwn_replacesAllAndKeepsTheRevision)
@@ -404,28 +472,43 @@
     BOOST_TEST(!follower.isBehind(9, follower.contentHash() + 1));
 }
 
-// A lost watch must be noticed sooner than the time for which a leaving upstream may still get requests.
-BOOST_AUTO_TEST_CASE(watch_ofARouterWithShortWatches_endsWithinASecond)
+// Guards against a change that a router misses for up to 26 s, as the answer to its watch was lost and the few routers with short watches
+// were gone: every router has to notice that itself, whenever the outage begins and however long it is.
+BOOST_AUTO_TEST_CASE(answerLost_anyMomentOfAnOutage_changeIsKnownThreeSecondsAfterIt)
 {
-    for (const bool usesShortWatches : {false, true}) {
-        follower = freshFollower();
-        at(0ms, follower_event::tick {});
-        at(0ms, follower_event::role_changed {true, usesShortWatches});
-        at(5ms, follower_event::page_received {{object("a", 3)}, false, 10});
-        BOOST_REQUIRE(effect<follower_effect::watch_changes>() != nullptr);
-        BOOST_TEST((effect<follower_effect::watch_changes>()->watchTimeout <= 1s) == usesShortWatches);
+    for (duration begin = 10s; begin < 14s; begin += 130ms) {
+        for (const duration length : {20ms, 400ms, 1000ms, 2500ms, 8000ms}) {
+            for (const duration changeDelay : {duration(0), length / 2, length}) {
+                silent_store store {begin, begin + length, begin + changeDelay};
+                const duration knownAt = store.timeUntilKnown(follower_options {});
+                BOOST_TEST((knownAt <= begin + length + 3s), "known after " << knownAt.count() << " us, outage from " << begin.count());
+            }
+        }
+    }
+}
+
+// Guards against a closure that takes effect later than five seconds after its acknowledgement, or three after an outage.
+BOOST_AUTO_TEST_CASE(closureWatch_answerLost_closureIsKnownInTime)
+{
+    follower_options options;
+    options.watchTimeout = limits::closureWatchTimeout;
+    for (duration begin = 10s; begin < 14s; begin += 130ms) {
+        for (const duration length : {20ms, 400ms, 1000ms, 2500ms, 8000ms}) {
+            silent_store store {begin, begin + length, begin};
+            BOOST_TEST((store.timeUntilKnown(options) <= std::max(begin + 5s, begin + length + 3s)));
+        }
     }
 }
 
 BOOST_AUTO_TEST_CASE(roleWithoutWatching_afterTheFirstList_makesNoCalls)
 {
     start();
-    at(10ms, follower_event::role_changed {false, false});
+    at(10ms, follower_event::role_changed {false});
     at(1s, follower_event::changes_received {{object("a", 12)}, 12});
     BOOST_TEST(effect<follower_effect::watch_changes>() == nullptr);
     at(60s, follower_event::tick {});
     BOOST_TEST(effects.empty());
-    at(61s, follower_event::role_changed {true, false});
+    at(61s, follower_event::role_changed {true});
     at(61s, follower_event::tick {});
     BOOST_REQUIRE(effect<follower_effect::watch_changes>() != nullptr);
     BOOST_TEST(effect<follower_effect::watch_changes>()->since.number == 12U);
@@ -434,7 +517,7 @@
 BOOST_AUTO_TEST_CASE(roleWithoutWatching_failedWatch_isNoUnreachableApi)
 {
     start();
-    at(10ms, follower_event::role_changed {false, false});
+    at(10ms, follower_event::role_changed {false});
     at(20ms, follower_event::call_failed {"cut"});
     at(30ms, follower_event::call_failed {"cut"});
     BOOST_TEST(follower.isApiReachable());
@@ -443,7 +526,7 @@
 
 BOOST_AUTO_TEST_CASE(roleWithoutWatching_beforeTheFirstList_lists)
 {
-    at(0ms, follower_event::role_changed {false, false});
+    at(0ms, follower_event::role_changed {false});
     at(0ms, follower_event::tick {});
     BOOST_TEST(effect<follower_effect::read_page>() != nullptr);
     at(5ms, follower_event::call_failed {"down"});
@@ -486,7 +569,7 @@
 BOOST_AUTO_TEST_CASE(snapshotReceived_removalAfterAnOutageOfItsReader_keepsItsGrace)
 {
     start();
-    at(10ms, follower_event::role_changed {false, false});
+    at(10ms, follower_event::role_changed {false});
     at(1s, follower_event::snapshot_received {{follower.asOf(), 30, {}, {"a"}, 1500ms}, "router"});
     BOOST_REQUIRE(effect<follower_effect::object_removed>() != nullptr);
     BOOST_TEST((effect<follower_effect::object_removed>()->grace == 1500ms));
@@ -500,7 +583,7 @@
     at(10s, follower_event::tick {});
     BOOST_TEST(effects.empty());
     at(11s, all({object("a", 3)}, 10));
-    at(11s, follower_event::role_changed {false, false});
+    at(11s, follower_event::role_changed {false});
     at(13s, follower_event::tick {});
     BOOST_TEST(effects.empty());
 }
@@ -517,11 +600,4 @@
     BOOST_TEST(effect<follower_effect::read_page>() != nullptr);
 }
 
-BOOST_AUTO_TEST_CASE(watch_ofASingleRouter_isShort)
-{
-    start();
-    BOOST_REQUIRE(effect<follower_effect::watch_changes>() != nullptr);
-    BOOST_TEST((effect<follower_effect::watch_changes>()->watchTimeout <= 1s));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
