Requests given up on are dropped by a reset and no longer run behind a healed cut

Cause: a connection was closed in an orderly way also while its request was in progress. The kernel goes on sending what it has taken until the path is back.

The new tests failed before: the upstream got all 12,049 bytes and an orderly end.

Ruled out: routers that know of a closure or a drain too late; they knew before the arrival.

Change: a connection that is closed with a request in progress is reset, also when the process stops with open requests, and for calls to the object API, which use the same connections. Asio's socket destructor switches lingering off again, so the connection closes its socket itself.

Why it works: a reset discards the send queue, so nothing is left that a healed path could carry.

Left: a killed router's connections are still closed by the kernel in an orderly way.

--- a/programs/serving/upstream_connection.cpp
+++ b/programs/serving/upstream_connection.cpp
@@ -14,6 +14,13 @@
 {
 }
 
+upstream_connection::~upstream_connection()
+{
+    resetIfBusy();
+    boost::system::error_code ignored;
+    m_socket.close(ignored); // the socket's destructor would turn the reset into an orderly close
+}
+
 void upstream_connection::open(const boost::asio::ip::tcp::endpoint &peer, duration timeout, std::string request, bool isHeadRequest,
                                handlers owner)
 {
@@ -264,8 +271,18 @@
     }
 }
 
+void upstream_connection::resetIfBusy()
+{
+    if (m_busy && m_open) {
+        // After an orderly close the kernel would go on sending for as long as the path may come back.
+        boost::system::error_code ignored; // the connection has failed already, and its bytes are gone
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
 void upstream_connection::close()
 {
+    resetIfBusy();
     ++m_generation;
     m_busy = false;
     m_open = false;
--- a/programs/serving/upstream_connection.h
+++ b/programs/serving/upstream_connection.h
@@ -37,6 +37,9 @@
     };
 
     explicit upstream_connection(boost::asio::io_context &context);
+    upstream_connection(const upstream_connection &) = delete;
+    upstream_connection &operator=(const upstream_connection &) = delete;
+    ~upstream_connection();
 
     /// Connects and sends a request. Exactly one of done and failed is called, unless close() is called first.
     /// @param timeout Limit for connecting; then the failure is attempt_failure::unreachable.
@@ -49,7 +52,8 @@
     /// Pauses or resumes reading from the socket: backpressure for a slow caller.
     void setReadingPaused(bool paused);
 
-    /// Closes the connection at once. No callback is called afterwards.
+    /// Closes the connection at once. No callback is called afterwards. A request in progress is given up: what the upstream has not
+    /// received of it is dropped, so that it does not begin to run later.
     void close();
 
     /// Watches an idle connection. It is closed, and @p closed called, when the upstream closes it or sends unsolicited data.
@@ -85,6 +89,8 @@
     }
 
 private:
+    /// Makes the next close of the socket a reset, which drops what is still to be sent, while a request is in progress.
+    void resetIfBusy();
     void writeRequest();
     void read();
     void received(std::size_t bytes);
--- /dev/null
+++ b/tests/test_upstream_connection.cpp
@@ -0,0 +1,122 @@
+// What an upstream gets of a request that its router gave up on while the bytes were still on the way.
+#include "serving/upstream_connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace
+{
+
+using namespace nutmegtally;
+using namespace std::chrono_literals;
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::size_t bodyBytes = 12'000; // several times the upstream's receive buffer: the rest waits in the sender's
+
+/// A connection whose upstream reads nothing until readAll(), as one behind a cut.
+struct held_up_fixture {
+    held_up_fixture()
+        : acceptor(context, tcp::v4())
+    {
+        acceptor.set_option(tcp::acceptor::receive_buffer_size(2048)); // accepted sockets inherit it
+        acceptor.bind(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        acceptor.listen();
+        acceptor.async_accept(upstream, [](const boost::system::error_code &) {});
+        connection = std::make_shared<upstream_connection>(*routerContext);
+        upstream_connection::handlers owner;
+        owner.head = [](const http_head &) { return true; };
+        owner.body = [](std::string &&) {};
+        owner.done = [this](bool) { isDone = true; };
+        owner.failed = [](attempt_failure) {};
+        connection->open(acceptor.local_endpoint(), 1s, request, false, std::move(owner));
+        run(100ms);
+    }
+
+    void run(duration length)
+    {
+        for (const auto end = std::chrono::steady_clock::now() + length; std::chrono::steady_clock::now() < end;) {
+            context.run_for(5ms);
+            if (routerContext) {
+                routerContext->run_for(5ms);
+            }
+            context.restart();
+            if (routerContext) {
+                routerContext->restart();
+            }
+        }
+    }
+
+    /// Reads until the connection ends.
+    void readAll()
+    {
+        std::string chunk(4096, '\0');
+        while (!fault) {
+            const std::size_t bytes = upstream.read_some(boost::asio::buffer(chunk), fault);
+            received.append(chunk.data(), bytes);
+        }
+    }
+
+    std::string request
+        = "POST /booking HTTP/1.1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+    boost::asio::io_context context;
+    std::unique_ptr<boost::asio::io_context> routerContext = std::make_unique<boost::asio::io_context>(); // that of the router's process
+    tcp::acceptor acceptor;
+    tcp::socket upstream {context};
+    upstream_connection::pointer connection;
+    std::string received;
+    boost::system::error_code fault;
+    bool isDone = false;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(upstream_connection_suite, held_up_fixture)
+
+// Guards against a request that reaches its upstream, and runs, seconds after its router gave up on it and told the caller.
+BOOST_AUTO_TEST_CASE(requestGivenUp_bytesHeldUp_areDropped)
+{
+    connection->close();
+    run(50ms);
+    readAll();
+    BOOST_TEST(received.size() < request.size());
+    BOOST_TEST(fault == boost::asio::error::connection_reset);
+}
+
+// Guards against the same at the end of a process that stops with open requests.
+BOOST_AUTO_TEST_CASE(processEnds_bytesHeldUp_areDropped)
+{
+    connection.reset();
+    routerContext.reset();
+    run(50ms);
+    readAll();
+    BOOST_TEST(received.size() < request.size());
+    BOOST_TEST(fault == boost::asio::error::connection_reset);
+}
+
+// Guards against resets that an upstream would take for a fault of its callers, after answers that were complete.
+BOOST_AUTO_TEST_CASE(answerComplete_connectionClosed_endsInAnOrderlyWay)
+{
+    std::string got(request.size(), '\0');
+    std::size_t bytes = 0;
+    while (bytes < got.size()) {
+        run(5ms);
+        upstream.non_blocking(true);
+        bytes += upstream.read_some(boost::asio::buffer(got.data() + bytes, got.size() - bytes), fault);
+        BOOST_REQUIRE((!fault || fault == boost::asio::error::would_block));
+    }
+    fault.clear();
+    upstream.non_blocking(false);
+    upstream.write_some(boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    run(50ms);
+    BOOST_TEST(isDone);
+    connection->close();
+    readAll();
+    BOOST_TEST(fault == boost::asio::error::eof);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
