Prompt quarantine: a survival that routers repeat does not become newer

Routers tell each other how old a survival of a prompt part is, and the time on the way is not in that age. Each took the other's report for a newer one, so it was told for good, and cleared crashes that came after it: a part that crashes engines would have stayed in use.

Evidence: the new test survival_toldBackAndForth_clearsNoLaterCrash, 60 ms on the way, failed before: after five crashes the part was clear.

Change: a told survival has to be newer than the known one by more than 500 ms, the rule that stated limits have. The price: one that is truly newer by less does not clear a crash in between; the next one does.

Ruled out for the other things that routers pass on: docs/platform.md has the list.

--- a/src/limits.h
+++ b/src/limits.h
@@ -171,6 +171,7 @@
 inline constexpr duration quarantineSweepInterval = 1s; // between two removals of old evidence
 inline constexpr duration crashShareTime = 10s; // that a single crash is told to other routers; parts of more are told while they are kept
 inline constexpr duration survivalShareTime = 5s; // that a cleared part is told to other routers; covers lost heartbeats
+inline constexpr duration survivalRefreshInterval = 500ms; // by which a told survival has to be newer; more than routers need to pass it on
 inline constexpr std::size_t maxCrashesPerPart = 8;
 inline constexpr std::size_t maxSuspectedParts = 256;
 inline constexpr std::size_t maxSharedEvidence = 32; // parts in a heartbeat; about a kilobyte
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -94,6 +94,13 @@
     return std::erase_if(record.crashes, [at](const auto &crash) { return crash.second.at <= at; }) > 0;
 }
 
+bool prompt_quarantine::addToldSurvival(std::uint64_t part, time_point at)
+{
+    // The time on the way makes the same survival look newer at each router that passes it on.
+    const std::optional<time_point> known = survivalOf(part);
+    return (!known || at > *known + limits::survivalRefreshInterval) && addSurvival(part, at);
+}
+
 void prompt_quarantine::recordCrash(crash_id id, const std::vector<crash_suspect> &suspects, time_point now)
 {
     bool isNews = false;
@@ -138,7 +145,7 @@
 {
     bool isNews = false;
     for (const part_evidence &each : evidence) {
-        isNews = (each.survivalAge && addSurvival(each.part, now - *each.survivalAge)) || isNews;
+        isNews = (each.survivalAge && addToldSurvival(each.part, now - *each.survivalAge)) || isNews;
         for (const part_evidence::crash &crash : each.crashes) {
             isNews = addCrash(each.part, each.depth, crash.id, {now - crash.age, now - crash.sendAge}) || isNews;
         }
--- a/tests/test_prompt_quarantine.cpp
+++ b/tests/test_prompt_quarantine.cpp
@@ -377,6 +377,29 @@
     BOOST_TEST((waiting.judge(deadlyPrompt, now).standing == part_standing::clear));
 }
 
+// Guards against a survival that routers tell each other for good, newer each time by the time on the way, so that it clears crashes that
+// came after it.
+BOOST_FIXTURE_TEST_CASE(survival_toldBackAndForth_clearsNoLaterCrash, quarantine_fixture)
+{
+    constexpr duration onTheWay = 60ms;
+    prompt_quarantine other {2};
+    crash(1);
+    other.merge(quarantine.evidence(now), now);
+    now += 1s;
+    quarantine.recordSurvival(deadlyPrompt, now);
+    for (unsigned round = 0; round < 100; ++round) {
+        const std::vector<part_evidence> own = quarantine.evidence(now);
+        const std::vector<part_evidence> others = other.evidence(now);
+        now += onTheWay;
+        other.merge(own, now);
+        quarantine.merge(others, now);
+        if (round % 20 == 19) {
+            crash(round);
+        }
+    }
+    BOOST_TEST((standing() == part_standing::quarantined));
+}
+
 BOOST_FIXTURE_TEST_CASE(release_byAnOperator_reachesOtherRouters, quarantine_fixture)
 {
     prompt_quarantine other {2};
