A request that does not get through is reset before the kernel gives its connection up

Cause: the kernel's keep-alive probes ended the connection 3.0 s after the cut began, before the router gave the request up. A connection that is closed already cannot be reset.

Longer keep-alive probes: idle connections that went silent would be found later.

Change: every 100 ms the serving core looks whether bytes of a request stay unacknowledged. If none gets through for 400 ms on a connection that has been silent for 2 s, the attempt fails as silent and the connection is reset.

The new test connectionSilent_bytesHeldUp_... needs the new call and so cannot run before; connectionSilent_bytesGetThrough_isNotGivenUp holds the other side.

Why it works: the reset comes at most 2.5 s after the last byte from the upstream, the kernel's end of the connection 3 s after it.

--- a/programs/serving/serving_core.h
+++ b/programs/serving/serving_core.h
@@ -205,6 +205,8 @@
     exchange_state *find(exchange_id id);
     /// @return The exchange whose running attempt this is; nullptr if the attempt is over.
     exchange_state *find(attempt_ref ref);
+    /// Ends attempts whose requests do not reach their upstreams.
+    void checkDeliveries();
     void tick();
 
     boost::asio::io_context &m_context;
--- a/programs/serving/serving_core_impl.h
+++ b/programs/serving/serving_core_impl.h
@@ -456,6 +456,20 @@
     m_observer.log(record);
 }
 
+template<request_codec Codec>
+void serving_core<Codec>::checkDeliveries()
+{
+    std::vector<upstream_connection::pointer> connections; // a failure changes the exchanges
+    for (const auto &[number, state] : m_exchanges) {
+        if (state.attempt && state.attempt->connection) {
+            connections.push_back(state.attempt->connection);
+        }
+    }
+    for (const upstream_connection::pointer &connection : connections) {
+        connection->checkDelivery();
+    }
+}
+
 template<request_codec Codec>
 void serving_core<Codec>::tick()
 {
@@ -468,6 +482,7 @@
         for (const client_connection::pointer &client : clients) {
             client->checkTimeouts(now);
         }
+        checkDeliveries();
     }
     m_tickTimer.expires_after(m_reducer.openExchanges() > 0 ? serving_limits::busyTickInterval : serving_limits::idleTickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code &fault) {
--- a/programs/serving/serving_limits.h
+++ b/programs/serving/serving_limits.h
@@ -30,6 +30,10 @@
 inline constexpr duration tcpUserTimeout = 2500ms; // a connection with data unacknowledged for this long is closed
 inline constexpr int keepAliveProbeIntervalS = 1; // seconds between unanswered probes
 inline constexpr int keepAliveProbeCount = 2; // unanswered probes that end a connection
+// A request of which the upstream acknowledges nothing for minDeliveryStall fails once the connection has been silent for
+// maxSilenceWhileSending: sooner than keep-alive probes or tcpUserTimeout end the connection.
+inline constexpr duration minDeliveryStall = 400ms; // a lost packet is sent again after 200 ms
+inline constexpr duration maxSilenceWhileSending = 2s;
 inline constexpr duration lingeringCloseTimeout = 1s; // time for the caller to read the last answer before the connection is closed
 inline constexpr int listenBacklog = 512; // connections that the kernel queues for accept
 inline constexpr duration sweepInterval = 100ms; // between timeout checks of all connections
--- a/programs/serving/upstream_connection.cpp
+++ b/programs/serving/upstream_connection.cpp
@@ -4,6 +4,8 @@
 #include "serving/socket_options.h"
 
 #include <boost/asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace nutmegtally
 {
@@ -45,6 +47,7 @@
             return;
         }
         self->m_open = true;
+        self->m_heardAt = std::chrono::steady_clock::now();
         setSocketOptions(self->m_socket);
         self->writeRequest();
         self->read();
@@ -66,6 +69,9 @@
 void upstream_connection::writeRequest()
 {
     m_requestWritten = false;
+    m_isDelivered = false;
+    m_unacknowledged = 0;
+    m_progressAt = std::chrono::steady_clock::now();
     m_writeFault.clear();
     m_headReceived = false;
     m_answerMatches = false;
@@ -128,6 +134,7 @@
 
 void upstream_connection::received(std::size_t bytes)
 {
+    m_heardAt = std::chrono::steady_clock::now();
     if (!m_busy) {
         // Unsolicited data on an idle connection: it could be mistaken for the answer to the next request.
         const auto closed = std::move(m_idleClosed);
@@ -263,6 +270,29 @@
     owner->failed(failure);
 }
 
+int upstream_connection::unacknowledgedBytes()
+{
+    int bytes = 0;
+    return ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+void upstream_connection::checkDelivery()
+{
+    if (!m_busy || !m_open || m_isDelivered) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const int bytes = unacknowledgedBytes();
+    if (bytes == 0 || bytes < m_unacknowledged) {
+        m_isDelivered = bytes == 0 && m_requestWritten;
+        m_progressAt = now;
+    }
+    m_unacknowledged = bytes;
+    if (now - m_progressAt >= serving_limits::minDeliveryStall && now - m_heardAt >= serving_limits::maxSilenceWhileSending) {
+        fail(attempt_failure::silent);
+    }
+}
+
 void upstream_connection::setReadingPaused(bool paused)
 {
     m_paused = paused;
--- a/programs/serving/upstream_connection.h
+++ b/programs/serving/upstream_connection.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -56,6 +57,10 @@
     /// received of it is dropped, so that it does not begin to run later.
     void close();
 
+    /// Fails a request of which no byte gets through on a connection that has gone silent, before the kernel gives the connection up: only
+    /// a connection that is still established can be reset, which drops the bytes that are held up. Call it several times a second.
+    void checkDelivery();
+
     /// Watches an idle connection. It is closed, and @p closed called, when the upstream closes it or sends unsolicited data.
     void watchIdle(std::function<void()> closed);
 
@@ -100,6 +105,8 @@
     void parse();
     void answerDone();
     void fail(attempt_failure failure);
+    /// Bytes that the kernel holds and the peer has not acknowledged; 0 if that cannot be told.
+    int unacknowledgedBytes();
     /// Drops an interim answer or one to another request. @return True if there were too many: the request has failed.
     bool skipAnswer();
     /// Reads the Keep-Alive field ("timeout=SECONDS") of an answer.
@@ -120,6 +127,10 @@
     bool m_busy = false; // a request is in progress
     bool m_requestWritten = false; // the whole request was written to the socket
     boost::system::error_code m_writeFault; // why the request could not be written
+    bool m_isDelivered = false; // the peer acknowledged the whole request
+    int m_unacknowledged = 0; // bytes at the last check of the delivery
+    std::chrono::steady_clock::time_point m_progressAt; // start of the write, or the last check that found fewer bytes unacknowledged
+    std::chrono::steady_clock::time_point m_heardAt; // of the peer: when it accepted the connection, or last sent data
     bool m_reading = false;
     bool m_paused = false;
     bool m_isHeadRequest = false;
--- a/tests/test_upstream_connection.cpp
+++ b/tests/test_upstream_connection.cpp
@@ -1,4 +1,5 @@
 // What an upstream gets of a request that its router gave up on while the bytes were still on the way.
+#include "serving/serving_limits.h"
 #include "serving/upstream_connection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -7,6 +8,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace
@@ -32,7 +34,7 @@
         owner.head = [](const http_head &) { return true; };
         owner.body = [](std::string &&) {};
         owner.done = [this](bool) { isDone = true; };
-        owner.failed = [](attempt_failure) {};
+        owner.failed = [this](attempt_failure cause) { failure = cause; };
         connection->open(acceptor.local_endpoint(), 1s, request, false, std::move(owner));
         run(100ms);
     }
@@ -71,6 +73,7 @@
     std::string received;
     boost::system::error_code fault;
     bool isDone = false;
+    std::optional<attempt_failure> failure;
 };
 
 } // namespace
@@ -98,6 +101,37 @@
     BOOST_TEST(fault == boost::asio::error::connection_reset);
 }
 
+// Guards against a request that arrives behind a healed cut because the kernel, and not the router, had given the connection up: a
+// connection that is closed already cannot be reset any more.
+BOOST_AUTO_TEST_CASE(connectionSilent_bytesHeldUp_isResetBeforeTheKernelGivesItUp)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    while (!failure && std::chrono::steady_clock::now() - begin < serving_limits::tcpUserTimeout) {
+        run(20ms);
+        connection->checkDelivery();
+    }
+    BOOST_REQUIRE(failure.has_value());
+    BOOST_TEST((*failure == attempt_failure::silent));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin > 1s)); // a lost packet alone is no reason
+    readAll();
+    BOOST_TEST(received.size() < request.size());
+    BOOST_TEST(fault == boost::asio::error::connection_reset);
+}
+
+// Guards against a request that is given up although it is on its way over a slow link, or was delivered and takes its time.
+BOOST_AUTO_TEST_CASE(connectionSilent_bytesGetThrough_isNotGivenUp)
+{
+    upstream.non_blocking(true);
+    std::string chunk(100, '\0');
+    for (const auto begin = std::chrono::steady_clock::now(); std::chrono::steady_clock::now() - begin < 3s;) {
+        run(10ms);
+        received.append(chunk.data(), upstream.read_some(boost::asio::buffer(chunk), fault));
+        connection->checkDelivery();
+    }
+    BOOST_TEST(!failure.has_value());
+    BOOST_TEST(received.size() == request.size());
+}
+
 // Guards against resets that an upstream would take for a fault of its callers, after answers that were complete.
 BOOST_AUTO_TEST_CASE(answerComplete_connectionClosed_endsInAnOrderlyWay)
 {
