Rollouts: a moment in which everything is slow is not the new version's fault

Cause: late in a shift the judge compares the new version's answers with those that the old version gave before, as it hardly gets requests any more. A moment in which everything is slow counts against the new version alone.

Evidence: the judge by itself, 110 answers a second, everything slow for 300 ms after the shift: 33 of 330 slow answers against 0 of 242, verdict slow.

Change: for the verdict slow, intervals of the window in which the new version is slow have to add up to 1.5 s; else it is suspicious at most. Errors are judged as before.

--- a/include/nutmegtally/rollout_judge.h
+++ b/include/nutmegtally/rollout_judge.h
@@ -37,6 +37,10 @@
         std::vector<route_counts> sums;
     };
 
+    /// Time of the window in whose intervals the target version had more slow answers than the base version has since the order.
+    /// @param route Hash of a route; 0 for all together.
+    duration slowTime(std::uint32_t route) const;
+
     std::deque<sample> m_samples; // oldest first; the first one is the last that is at least limits::rolloutWindow old
 };
 
--- a/src/limits.h
+++ b/src/limits.h
@@ -253,6 +253,9 @@
 // keeps requests from it, and the lack of bad answers shows nothing.
 inline constexpr double minTrialAnswerShare = 0.03;
 inline constexpr std::uint32_t minRolloutBaseAnswers = 20; // of the base version in a window; with fewer, all since the order count
+// In which answers of a version are slow, for a verdict. In a shorter time everything may have been slow, while the base version got no
+// requests any more that would show it.
+inline constexpr duration minRolloutSlowTime = 1500ms;
 inline constexpr double slowAnswerFactor = 2.5; // of the base version's usual time on the route
 inline constexpr std::uint32_t minUsualTimeAnswers = 12; // of the base version on a route, for its usual time
 inline constexpr duration brokenAnswerDelay = 300ms; // after which an answer shows that its upstream did not crash when others broke
--- a/src/rollout_judge.cpp
+++ b/src/rollout_judge.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace nutmegtally
 {
@@ -85,11 +86,19 @@
     return isWorse ? comparison::worse : comparison::suspicious;
 }
 
-/// Takes the result of one comparison of @p target and @p base into @p verdict. The first fault stays.
-void judge(rollout_verdict &verdict, std::uint32_t route, const version_counts &target, const version_counts &base)
+/// Tells whether the slow answers on a route, or on all together for 0, may come from a moment in which everything was slow.
+using moment_check = std::function<bool(std::uint32_t)>;
+
+/// Takes the result of one comparison of @p target and @p base into @p verdict. The first fault stays. Answers that were slow for a moment
+/// only are no more than suspicious.
+void judge(rollout_verdict &verdict, std::uint32_t route, const version_counts &target, const version_counts &base,
+           const moment_check &mayBeMoment)
 {
     const comparison failures = compare(target.bad, target.answers, base.bad, base.answers);
-    const comparison times = compare(target.slow, target.timed, base.slow, base.timed);
+    comparison times = compare(target.slow, target.timed, base.slow, base.timed);
+    if (times == comparison::worse && mayBeMoment(route)) {
+        times = comparison::suspicious;
+    }
     verdict.isSuspicious = verdict.isSuspicious || failures != comparison::equal || times != comparison::equal;
     if (verdict.fault != rollout_fault::none || (failures != comparison::worse && times != comparison::worse)) {
         return;
@@ -102,15 +111,28 @@
 
 /// Judges the counts of a span, by route and over all.
 /// @param whole Counts since the order, whose base stands in where the span has too few answers of it.
-void judgeSpan(rollout_verdict &verdict, const std::vector<route_counts> &span, const std::vector<route_counts> &whole)
+void judgeSpan(rollout_verdict &verdict, const std::vector<route_counts> &span, const std::vector<route_counts> &whole,
+               const moment_check &mayBeMoment)
 {
     for (const route_counts &each : span) {
         const route_counts *since = find(whole, each.route);
         const bool hasBase = each.base.answers >= limits::minRolloutBaseAnswers || since == nullptr;
-        judge(verdict, each.route, each.target, hasBase ? each.base : since->base);
+        judge(verdict, each.route, each.target, hasBase ? each.base : since->base, mayBeMoment);
     }
     const route_counts all = totalOf(span);
-    judge(verdict, 0, all.target, all.base.answers >= limits::minRolloutBaseAnswers ? all.base : totalOf(whole).base);
+    judge(verdict, 0, all.target, all.base.answers >= limits::minRolloutBaseAnswers ? all.base : totalOf(whole).base, mayBeMoment);
+}
+
+/// The counts of a route; of all together for 0.
+route_counts countsOf(const std::vector<route_counts> &counts, std::uint32_t route)
+{
+    const route_counts *known = find(counts, route);
+    return route == 0 ? totalOf(counts) : known != nullptr ? *known : route_counts {route, {}, {}};
+}
+
+double slowShare(const version_counts &counts)
+{
+    return counts.timed == 0 ? 0 : static_cast<double>(counts.slow) / counts.timed;
 }
 
 bool hasEnoughAnswers(const std::vector<route_counts> &sums)
@@ -185,6 +207,20 @@
     }
 }
 
+duration rollout_judge::slowTime(std::uint32_t route) const
+{
+    const double usual = slowShare(countsOf(m_samples.back().sums, route).base);
+    duration sum {0};
+    for (std::size_t i = 1; i < m_samples.size(); ++i) {
+        std::vector<route_counts> interval = m_samples[i].sums;
+        subtractRouteCounts(interval, m_samples[i - 1].sums);
+        if (slowShare(countsOf(interval, route).target) >= usual + limits::minRolloutShareDifference) {
+            sum += m_samples[i].at - m_samples[i - 1].at;
+        }
+    }
+    return sum;
+}
+
 rollout_verdict rollout_judge::verdict() const
 {
     rollout_verdict verdict;
@@ -194,10 +230,12 @@
     const std::vector<route_counts> &whole = m_samples.back().sums;
     std::vector<route_counts> window = whole;
     subtractRouteCounts(window, m_samples.front().sums);
+    // The base version's answers of a span may all be from before the moment, when it still got requests.
+    const auto mayBeMoment = [this](std::uint32_t route) { return slowTime(route) < limits::minRolloutSlowTime; };
     if (m_samples.size() > 1) {
-        judgeSpan(verdict, window, whole);
+        judgeSpan(verdict, window, whole, mayBeMoment);
     }
-    judgeSpan(verdict, whole, whole);
+    judgeSpan(verdict, whole, whole, mayBeMoment);
     verdict.lacksAnswers = lacksAnswers(whole);
     verdict.isGood = verdict.fault == rollout_fault::none && !verdict.isSuspicious && hasEnoughAnswers(whole);
     return verdict;
--- a/tests/test_rollout.cpp
+++ b/tests/test_rollout.cpp
@@ -190,6 +190,40 @@
     BOOST_TEST((fleet.order->status != rollout_status::rolledBack));
 }
 
+// Guards against a good version that is rolled back as slow because everything was slow for a moment, when hardly any requests went to the
+// old version: what the new one took then was compared with what the old one had taken before.
+BOOST_AUTO_TEST_CASE(momentOfSlowness_ofEverything_isNotTheVersionsFault)
+{
+    for (duration begin = 3s; begin < 12s; begin += 100ms) {
+        rollout_fleet fleet(3);
+        fleet.answer = [&](const versioned_upstream &, const std::string &, unsigned) {
+            const bool isSlow = fleet.order && fleet.now >= fleet.orderedAt + begin && fleet.now < fleet.orderedAt + begin + 600ms;
+            return isSlow ? outcome {answer_quality::good, 200ms} : outcome {answer_quality::good, 20ms};
+        };
+        fleet.run(2s);
+        fleet.writeOrder();
+        fleet.run(14s);
+        BOOST_TEST_CONTEXT("slow from " << begin.count() << " us on")
+        {
+            checkCompleted(fleet);
+            BOOST_TEST(std::count(fleet.statuses.begin(), fleet.statuses.end(), rollout_status::rolledBack) == 0);
+        }
+    }
+}
+
+// Guards against a version that is completed although it is slow for good once it gets all requests.
+BOOST_AUTO_TEST_CASE(badVersion_slowWithTheShift_isRolledBack)
+{
+    rollout_fleet fleet(3);
+    fleet.answer = [&](const versioned_upstream &upstream, const std::string &, unsigned load) {
+        return upstream.version == "v2" && load >= 2 ? outcome {answer_quality::good, 400ms} : sound(fleet);
+    };
+    fleet.run(2s);
+    fleet.writeOrder();
+    fleet.run(14s);
+    checkRolledBack(fleet);
+}
+
 // Guards against one crashed upstream, which breaks many answers at once, that condemns its version.
 BOOST_AUTO_TEST_CASE(crashOfOneUpstream_doesNotCondemnTheVersion)
 {
